--- a/request.go
+++ b/request.go
@@ -66,6 +66,9 @@
 	Rest io.ReadCloser
 	// Sample is the load of the server that answered.
 	Sample Sample
+	// Served is the time from the hand-over of the request to the server until
+	// its answer was there.
+	Served time.Duration
 }
 
 // Bounds on what callers and servers send.
--- /dev/null
+++ b/wire/convert.go
@@ -0,0 +1,109 @@
+package wire
+
+import (
+	"errors"
+	"time"
+
+	prim "github.com/primrosethread/primrosethread"
+)
+
+// This file converts between frames and the types of the ports.
+
+// RequestHeader fills a header of type t with a request. The time left is
+// computed at now.
+func RequestHeader(t Type, r *prim.Request, now time.Time) Header {
+	h := Header{
+		Type:       t,
+		Remaining:  r.Deadline.Sub(now),
+		Service:    r.Service,
+		Customer:   r.Customer,
+		Class:      r.Class,
+		Method:     r.Method,
+		Path:       r.Path,
+		HTTP:       r.Header,
+		Idempotent: r.Idempotent,
+		Internal:   r.Internal,
+		Key:        r.Key,
+		Lookup:     r.Lookup,
+	}
+	if !r.KeyCreated.IsZero() {
+		h.KeyCreated = r.KeyCreated.UnixMilli()
+	}
+	return h
+}
+
+// Request returns the request in a header and a body. Its deadline is the
+// time left after now.
+func (h *Header) Request(body []byte, now time.Time) *prim.Request {
+	r := &prim.Request{
+		Service:    h.Service,
+		Customer:   h.Customer,
+		Class:      h.Class,
+		Method:     h.Method,
+		Path:       h.Path,
+		Header:     h.HTTP,
+		Body:       body,
+		Idempotent: h.Idempotent,
+		Internal:   h.Internal,
+		Key:        h.Key,
+		Lookup:     h.Lookup,
+		Deadline:   now.Add(min(h.Remaining, prim.MaxTimeout)),
+	}
+	if h.KeyCreated != 0 {
+		r.KeyCreated = time.UnixMilli(h.KeyCreated)
+	}
+	return r
+}
+
+// AnswerHeader fills a header with an answer.
+func AnswerHeader(id uint64, a *prim.Answer) Header {
+	return Header{
+		Type:   Answer,
+		ID:     id,
+		Status: a.Status,
+		HTTP:   a.Header,
+		Sample: &a.Sample,
+		Served: a.Served,
+		More:   a.Rest != nil,
+	}
+}
+
+// ErrorHeader fills a header with the error of a request.
+func ErrorHeader(id uint64, err error) Header {
+	var refusal *prim.Refusal
+	if errors.As(err, &refusal) {
+		return Header{Type: Refusal, ID: id, Reason: refusal.Reason, Sample: &refusal.Sample}
+	}
+	var conflict *prim.KeyConflict
+	if errors.As(err, &conflict) {
+		return Header{Type: Conflict, ID: id, Key: conflict.Key}
+	}
+	h := Header{Type: Lost, ID: id, Text: err.Error()}
+	var lost *prim.Lost
+	if errors.As(err, &lost) {
+		h.Reset = lost.Reset
+		if lost.Cause != nil {
+			h.Text = lost.Cause.Error()
+		}
+	}
+	return h
+}
+
+// Result returns the answer or the error in a header that ends a request at
+// a host.
+func (h *Header) Result(host prim.HostName, body []byte) (*prim.Answer, error) {
+	var s prim.Sample
+	if h.Sample != nil {
+		s = *h.Sample
+	}
+	switch h.Type {
+	case Answer:
+		return &prim.Answer{Status: h.Status, Header: h.HTTP, Body: body, Sample: s, Served: h.Served}, nil
+	case Refusal:
+		return nil, &prim.Refusal{Reason: h.Reason, Host: host, Sample: s}
+	case Conflict:
+		return nil, &prim.KeyConflict{Key: h.Key}
+	default:
+		return nil, &prim.Lost{Host: host, Cause: errors.New(h.Text), Reset: h.Reset}
+	}
+}
--- /dev/null
+++ b/wire/frame_test.go
@@ -0,0 +1,95 @@
+package wire_test
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/wire"
+)
+
+// Guards against a field or a body byte that changes on its way.
+func TestRequestRoundTrip(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	r := &prim.Request{
+		Service: "bookings", Customer: "c", Class: "Deposit", Method: "POST", Path: "/deposits?x=1",
+		Header: http.Header{"Accept": {"a", "b"}}, Body: []byte("body"), Key: "k",
+		KeyCreated: time.UnixMilli(1_700_000_000_123), Internal: true, Deadline: now.Add(time.Second),
+	}
+	h := wire.RequestHeader(wire.Dispatch, r, now)
+	b, err := wire.Append(nil, &h, r.Body)
+	is.NoErr(err)
+	got, body, err := wire.Split(b)
+	is.NoErr(err)
+	is.Equal(got.Request(body, now), r)
+}
+
+// Guards against an outcome that changes its kind between nodes: a refusal
+// must stay NotRun and a lost answer must stay Unknown.
+func TestErrorRoundTrip(t *testing.T) {
+	is := is.New(t)
+	for _, e := range []error{
+		&prim.Refusal{Reason: prim.ReasonBusy, Host: "h"},
+		&prim.Lost{Host: "h", Cause: errors.New("reset"), Reset: true},
+		&prim.KeyConflict{Key: "k"},
+		errors.New("other"),
+	} {
+		h := wire.ErrorHeader(7, e)
+		b, err := wire.Append(nil, &h, nil)
+		is.NoErr(err)
+		got, body, err := wire.Split(b)
+		is.NoErr(err)
+		_, back := got.Result("h", body)
+		is.Equal(prim.OutcomeOf(back), prim.OutcomeOf(e))
+	}
+}
+
+// Guards against a truncated, oversized or garbled frame that is accepted as
+// something else, or that ends the process.
+func TestSplitRefusesDamage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := wire.Header{Type: wire.Dispatch, ID: 5, Path: "/x", Service: "s"}
+		b, err := wire.Append(nil, &h, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		cut := rapid.IntRange(0, len(b)-1).Draw(t, "cut")
+		var m *wire.Malformed
+		if _, _, err := wire.Split(b[:cut]); !errors.As(err, &m) {
+			t.Fatalf("cut at %d of %d accepted: %v", cut, len(b), err)
+		}
+		noise := rapid.SliceOfN(rapid.Byte(), 0, 64).Draw(t, "noise")
+		if got, _, err := wire.Split(noise); err == nil && (got.Type < wire.Dispatch || got.Type > wire.Reply) {
+			t.Fatalf("type %d accepted", got.Type)
+		}
+	})
+}
+
+// Guards against a peer that makes this node hold a frame beyond the bounds.
+func TestBounds(t *testing.T) {
+	is := is.New(t)
+	h := wire.Header{Type: wire.Answer}
+	_, err := wire.Append(nil, &h, make([]byte, wire.MaxBody+1))
+	is.True(err != nil)
+	h.Text = string(make([]byte, wire.MaxHeader+1))
+	_, err = wire.Append(nil, &h, nil)
+	is.True(err != nil)
+	_, _, err = wire.Split(append([]byte{0xff, 0xff, 0xff, 0xff}, make([]byte, 32)...))
+	is.True(err != nil)
+}
+
+func FuzzSplit(f *testing.F) {
+	h := wire.Header{Type: wire.Answer, ID: 1, HTTP: http.Header{"A": {"b"}}}
+	b, err := wire.Append(nil, &h, []byte("x"))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(_ *testing.T, b []byte) { wire.Split(b) })
+}
