--- /dev/null
+++ b/cmd/standin/server_test.go
@@ -0,0 +1,221 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func testServer() *server {
+	return newServer(serverConfig{slots: 4, connections: 3, queue: 2, serviceTime: 100 * time.Millisecond,
+		coldCap: 2, warmAfter: 3, coldFactor: 3, lag: time.Second})
+}
+
+// burst sends n requests at once and counts the answers by status.
+func burst(h http.Handler, n int, header ...string) map[int]int {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	codes := make(map[int]int)
+	for range n {
+		wg.Go(func() {
+			w := do(h, "POST", "/deposits", "{}", header...)
+			mu.Lock()
+			defer mu.Unlock()
+			codes[w.Code]++
+		})
+	}
+	wg.Wait()
+	return codes
+}
+
+// Guards against a stand-in that bears full load after a start, or that stays
+// cold although it worked.
+func TestColdStart(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(t *testing.T) {
+		s := testServer()
+		h := s.handler()
+		is.Equal(burst(h, 4), map[int]int{200: 2, 500: 2})
+		start := time.Now()
+		is.Equal(burst(h, 1), map[int]int{200: 1})
+		is.Equal(time.Since(start), 300*time.Millisecond)
+		start = time.Now()
+		is.Equal(burst(h, 4), map[int]int{200: 4})
+		is.Equal(time.Since(start), 100*time.Millisecond)
+		is.Equal(do(h, "POST", "/fault", `{"Cold":true}`).Code, 200)
+		is.Equal(burst(h, 4), map[int]int{200: 2, 500: 2})
+		is.Equal(s.ledger.runs, int64(13))
+	})
+}
+
+// Guards against more work at once than there are slots, and against a shed
+// request that is in the ledger or lacks the header that makes it safe to retry.
+func TestSlotsAndShedding(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(t *testing.T) {
+		s := testServer()
+		s.warmAfter = 0
+		h := s.handler()
+		is.Equal(burst(h, 10), map[int]int{200: 6, 503: 4})
+		is.Equal(s.peak, 4)
+		is.Equal(s.ledger.runs, int64(6))
+		is.Equal(do(h, "POST", "/fault", `{"Drain":true}`).Code, 200)
+		w := do(h, "GET", "/tides", "")
+		is.Equal(w.Code, 503)
+		is.Equal(w.Header().Get(shedHeader), "true")
+		is.Equal(s.ledger.runs, int64(6))
+	})
+}
+
+// Guards against work that goes on after its deadline or its caller, and
+// against such work missing in the ledger.
+func TestDeadlineAndCancel(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(t *testing.T) {
+		s := testServer()
+		s.warmAfter = 0
+		h := s.handler()
+		start := time.Now()
+		is.Equal(burst(h, 1, timeoutHeader, "50"), map[int]int{504: 1})
+		is.Equal(time.Since(start), 50*time.Millisecond)
+		is.Equal(do(h, "GET", "/", "", timeoutHeader, "0").Code, 400)
+		// Four take the slots; two run out of time in the queue and did not run.
+		is.Equal(burst(h, 6, timeoutHeader, "50"), map[int]int{504: 4, 503: 2})
+		is.Equal(s.ledger.runs, int64(5))
+		is.Equal(s.counts.Expired.Load(), int64(7))
+
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			time.Sleep(10 * time.Millisecond)
+			cancel()
+		}()
+		h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("GET", "/", nil).WithContext(ctx))
+		is.Equal(s.counts.Cancelled.Load(), int64(1))
+		is.Equal(s.inFlight, 0)
+		is.Equal(len(s.free), 4)
+	})
+}
+
+// Guards against a doubled run that the ledger does not show.
+func TestLedger(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(t *testing.T) {
+		h := testServer().handler()
+		for range 2 {
+			do(h, "POST", "/deposits", "{}", requestHeader, "r1", keyHeader, "k1")
+		}
+		var a answer
+		is.NoErr(json.Unmarshal(do(h, "POST", "/deposits", "{}", requestHeader, "r2", keyHeader, "k1").Body.Bytes(), &a))
+		is.Equal(a, answer{Request: "r2", Key: "k1", Run: 1, Path: "/deposits", Read: 2})
+		var l struct {
+			Runs, Overflow int64
+			Requests, Keys map[string]int
+		}
+		is.NoErr(json.Unmarshal(do(h, "GET", "/ledger", "").Body.Bytes(), &l))
+		is.Equal(l.Runs, int64(3))
+		is.Equal(l.Requests, map[string]int{"r1": 2, "r2": 1})
+		is.Equal(l.Keys, map[string]int{"k1": 3})
+	})
+}
+
+// Guards against faults that are accepted and have no effect.
+func TestServerFaults(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(t *testing.T) {
+		s := testServer()
+		s.warmAfter = 0
+		h := s.handler()
+		is.Equal(do(h, "POST", "/fault", `{"Slow":10}`).Code, 200)
+		start := time.Now()
+		do(h, "GET", "/", "")
+		is.Equal(time.Since(start), time.Second)
+		is.Equal(do(h, "POST", "/fault", `{"Slow":1,"FailFast":1}`).Code, 200)
+		start = time.Now()
+		is.Equal(do(h, "GET", "/", "").Code, 500)
+		is.Equal(time.Since(start), time.Duration(0))
+		is.Equal(do(h, "POST", "/fault", `{"FailFast":0,"AnswerBytes":2000000}`).Code, 200)
+		is.True(do(h, "GET", "/", "").Body.Len() > 2000000)
+		is.Equal(do(h, "POST", "/fault", `{"Cut":1}`).Code, 200)
+		is.Equal(do(h, "GET", "/", "").Code, 0)
+		for _, body := range []string{`{"Slow":0}`, `{"FailFast":2}`, `{"AnswerBytes":-1}`, `{"slowly":1}`, `x`} {
+			is.Equal(do(h, "POST", "/fault", body).Code, 400)
+		}
+	})
+}
+
+// Guards against load reports that are better than those of real servers.
+func TestLoadLags(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(t *testing.T) {
+		s := testServer()
+		h := s.handler()
+		load := func() (r loadReport) {
+			is.NoErr(json.Unmarshal(do(h, "GET", "/load", "").Body.Bytes(), &r))
+			return r
+		}
+		first := load()
+		is.Equal(first.InFlight, 0)
+		go do(h, "GET", "/", "")
+		synctest.Wait()
+		is.Equal(load().InFlight, 0)
+		is.Equal(s.report(time.Now()).InFlight, 1)
+		is.Equal(do(h, "POST", "/fault", `{"Restart":true}`).Code, 200)
+		time.Sleep(time.Second)
+		is.True(load().Start != first.Start)
+	})
+}
+
+// Guards against a connection beyond the limit that is served, and against
+// connections that survive a restart of the server.
+func TestConnectionLimit(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	s := testServer()
+	s.conns = newLimited(l, 2)
+	hs := &http.Server{Handler: s.handler()}
+	end := make(chan error)
+	go func() { end <- hs.Serve(s.conns) }()
+
+	ask := func(c net.Conn) error {
+		if _, err := io.WriteString(c, "GET /readyz HTTP/1.1\r\nHost: s\r\n\r\n"); err != nil {
+			return err
+		}
+		b := make([]byte, 12)
+		_, err := io.ReadFull(c, b)
+		if err == nil && !strings.HasPrefix(string(b), "HTTP/1.1 200") {
+			t.Errorf("answer %q", b)
+		}
+		return err
+	}
+	var open []net.Conn
+	for range 2 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		is.NoErr(err)
+		is.NoErr(ask(c))
+		open = append(open, c)
+	}
+	c, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	is.True(ask(c) != nil)
+	is.Equal(s.conns.refused.Load(), int64(1))
+
+	is.NoErr(s.fault.set([]byte(`{"Restart":true}`)))
+	for _, c := range open {
+		_, err := io.Copy(io.Discard, c)
+		is.True(err != nil) // reset
+		c.Close()
+	}
+	is.NoErr(hs.Close())
+	is.Equal(<-end, http.ErrServerClosed)
+}
