--- /dev/null
+++ b/admit/admit_test.go
@@ -0,0 +1,65 @@
+package admit
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	prim "github.com/primrosethread/primrosethread"
+)
+
+// Guards against a waiter that is not woken, a slot lost to a cancelled waiter,
+// a refusal without its reason and a tick goroutine that outlives its context.
+func TestAdmitter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		a := New(Config{Host: "h", Published: 9})
+		end := a.Run(ctx)
+		r := request("a", time.Now().Add(time.Second))
+		first, err := a.Admit(ctx, r)
+		is.NoErr(err)
+		got := make(chan prim.Slot)
+		go func() {
+			s, err := a.Admit(ctx, r)
+			is.NoErr(err)
+			got <- s
+		}()
+		synctest.Wait()
+		is.Equal(a.Sample().Queued, 1)
+		_, err = a.Admit(ctx, r)
+		is.Equal(reason(err), prim.ReasonBusy)
+		first.Done(good)
+		first.Done(good)
+		second := <-got
+
+		short, stop := context.WithTimeout(ctx, 10*time.Millisecond)
+		defer stop()
+		for a.Sample().InFlight < a.Sample().Limit {
+			_, err = a.Admit(ctx, r)
+			is.NoErr(err)
+		}
+		_, err = a.Admit(short, r)
+		is.Equal(reason(err), prim.ReasonExpired)
+		is.Equal(a.Sample().Queued, 0)
+
+		a.SetLeaving(true)
+		second.Done(good)
+		_, err = a.Admit(ctx, r)
+		is.Equal(reason(err), prim.ReasonLeaving)
+		cancel()
+		is.Equal(<-end, context.Canceled)
+	})
+}
+
+func reason(err error) prim.Reason {
+	var r *prim.Refusal
+	if errors.As(err, &r) {
+		return r.Reason
+	}
+	return 0
+}
