retry: attempts, budgets and waiting at the ingress

Ruled out: a sliding window of first attempts as the retry budget, which refills only after ten seconds once a burst has emptied it; a full waiting queue that returns an error, since no error is allowed before the deadline.

Change: package retry. Idempotent ones are hedged after a quantile of their class.

--- /dev/null
+++ b/retry/service.go
@@ -0,0 +1,146 @@
+package retry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	prim "github.com/primrosethread/primrosethread"
+)
+
+// service holds the budgets, the waiting requests and the latencies of one
+// service at this ingress node.
+type service struct {
+	config *Config
+
+	mu      sync.Mutex
+	retries *budget
+	hedges  *budget
+	queue   *queue
+	timer   *time.Timer // calls release; nil while nobody waits
+	classes map[prim.Class]*latencies
+}
+
+func (c *Caller) service(name prim.Service) *service {
+	if v, ok := c.services.Load(name); ok {
+		return v.(*service)
+	}
+	v, _ := c.services.LoadOrStore(name, &service{
+		config:  &c.config,
+		retries: newBudget(c.config.RetryShare, c.config.RetryFloor, c.config.RetryBurst),
+		// Hedges have no floor: an attempt that is late without a hedge is
+		// replaced under the retry budget in the end.
+		hedges:  newBudget(c.config.HedgeShare, 0, 1),
+		queue:   newQueue(c.config.Queue),
+		classes: make(map[prim.Class]*latencies),
+	})
+	return v.(*service)
+}
+
+// first counts a first attempt, which may pay for a waiting request.
+func (s *service) first() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.retries.first(now)
+	s.hedges.first(now)
+	if s.timer != nil {
+		s.release(now)
+	}
+}
+
+func (s *service) takeHedge() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hedges.take(time.Now())
+}
+
+// takeRetry takes from the retry budget unless others wait for it.
+func (s *service) takeRetry() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.queue.ready.all) == 0 && s.retries.take(time.Now())
+}
+
+// wait returns nil when the request may make another attempt, not before the
+// delay has passed, or the error of the context.
+func (s *service) wait(ctx context.Context, deadline time.Time, delay time.Duration) error {
+	w := &waiter{deadline: deadline, released: make(chan struct{})}
+	for {
+		s.mu.Lock()
+		now := time.Now()
+		w.after = now.Add(delay)
+		queued := s.queue.push(w)
+		if queued {
+			s.release(now)
+		}
+		s.mu.Unlock()
+		if queued {
+			break
+		}
+		// The queue is full. The caller still gets no error before its
+		// deadline; the request asks for a place again later.
+		if err := sleep(ctx, jitter(s.config.BackoffMax)); err != nil {
+			return err
+		}
+	}
+	select {
+	case <-w.released:
+		return nil
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.queue.remove(w) {
+		s.retries.giveBack()
+		s.release(time.Now())
+	}
+	return ctx.Err()
+}
+
+// release lets waiting requests go and sets the timer for the next ones. The
+// caller holds s.mu.
+func (s *service) release(now time.Time) {
+	if s.timer != nil {
+		s.timer.Stop()
+		s.timer = nil
+	}
+	next, waiting := s.queue.release(now, s.retries)
+	if !waiting {
+		return
+	}
+	s.timer = time.AfterFunc(next, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.release(time.Now())
+	})
+}
+
+// latencies returns the latencies of a class.
+func (s *service) latencies(c prim.Class) *latencies {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.classes[c]
+	if !ok {
+		l = newLatencies(s.config.HedgeQuantile, s.config.HedgeUnknown)
+		s.classes[c] = l
+	}
+	return l
+}
+
+// jitter returns a random time between half of d and d.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d/2+1)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
