gossip: spread documents without a leader

Cause: every node needs the published documents within 10 s, and a watch or a frequent read by every node costs more reads than the platform answers. Ruled out: random peer lists, which leave some nodes untold; one attempt at a time for a body, since a lost message then blocks a document for its timeout (with 3 s before the next attempt TestSchedules fails); a refusal that is final, since a check may depend on another document. Change: package gossip. Bodies are counted per document in a byte budget, index reads follow the size of the fleet, and a node that hears few peers reads more often.

--- /dev/null
+++ b/gossip/budget.go
@@ -0,0 +1,38 @@
+package gossip
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// budget is a token bucket in bytes that may go into debt. A transfer starts
+// only while the bucket is not empty and is charged in full once its size is
+// known. In any time T it therefore passes at most rate*T + burst bytes and the
+// transfers under way when it ran empty.
+type budget struct{ limiter *rate.Limiter }
+
+func newBudget(perSecond float64, burst int) budget {
+	return budget{rate.NewLimiter(rate.Limit(perSecond), burst)}
+}
+
+func (b budget) ready(now time.Time) bool { return b.limiter.TokensAt(now) > 0 }
+
+func (b budget) charge(now time.Time, n int) {
+	// The limiter refuses a reservation larger than its burst.
+	for n > 0 {
+		k := min(n, b.limiter.Burst())
+		b.limiter.ReserveN(now, k)
+		n -= k
+	}
+}
+
+// readyAt returns when the bucket is next not empty.
+func (b budget) readyAt(now time.Time) time.Time {
+	t := b.limiter.TokensAt(now)
+	if t > 0 {
+		return now
+	}
+	// One token more than the debt, so that rounding does not end just below zero.
+	return now.Add(time.Duration((1 - t) / float64(b.limiter.Limit()) * float64(time.Second)))
+}
