node: assemble the path of a request as separate processes

Cause: requests have to go end to end before the parts are refined. The allowance ledger only checks that the plan names the service, all hosts count as reachable, and no metrics are kept yet (node/thin.go).

--- a/config/node.go
+++ b/config/node.go
@@ -61,7 +61,7 @@
 }
 
 // Policies are the names of the policies for choosing a server.
-var Policies = []string{"pool", "least-of-two", "round-robin", "random"}
+var Policies = []string{"Pool", "LeastOfTwo", "RoundRobin", "Random"}
 
 // Cost returns the one-way time between two data centres: zero within one, the
 // listed cost, or the default.
@@ -111,7 +111,7 @@
 		set: func(n *Node, s string) *refusal { return setKey(&n.FleetKey, s) }},
 	{flag: "fleet-key-file", optional: true, help: "file that holds the fleet key; one newline at its end is ignored",
 		set: func(n *Node, s string) *refusal { return setKeyFile(&n.FleetKey, s) }},
-	{flag: "policy", def: "pool", help: "policy for choosing a server: pool, least-of-two, round-robin or random",
+	{flag: "policy", def: "Pool", help: "policy for choosing a server: Pool, LeastOfTwo, RoundRobin or Random",
 		set: func(n *Node, s string) *refusal { return setWord(&n.Policy, s, Policies) }},
 	{flag: "log-level", def: "info", help: "least level of log lines: debug, info, warn or error",
 		set: func(n *Node, s string) *refusal { return setLevel(&n.LogLevel, s) }},
--- a/names.go
+++ b/names.go
@@ -6,6 +6,8 @@
 import (
 	"crypto/rand"
 	"encoding/binary"
+	"fmt"
+	"strconv"
 )
 
 // HostName names a host in the published host list. A host runs one server
@@ -37,3 +39,20 @@
 	rand.Read(b[:])
 	return Instance(binary.BigEndian.Uint64(b[:]) | 1)
 }
+
+// String returns the id in hex.
+func (i Instance) String() string { return strconv.FormatUint(uint64(i), 16) }
+
+// MarshalText writes the id in hex; JSON numbers lose the low bits of 64-bit
+// integers in many readers.
+func (i Instance) MarshalText() ([]byte, error) { return []byte(i.String()), nil }
+
+// UnmarshalText reads an id in hex.
+func (i *Instance) UnmarshalText(b []byte) error {
+	n, err := strconv.ParseUint(string(b), 16, 64)
+	if err != nil {
+		return fmt.Errorf("instance id %q: %w; write hex digits", b, err)
+	}
+	*i = Instance(n)
+	return nil
+}
--- /dev/null
+++ b/node/documents.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/config"
+	"github.com/primrosethread/primrosethread/gossip"
+	"github.com/primrosethread/primrosethread/source"
+)
+
+// newDocuments assembles the reader of the platform and the exchange of
+// documents with other nodes.
+func (n *Node) newDocuments() (*gossip.Node, error) {
+	s := &n.c.Settings
+	var clients []prim.Platform
+	for _, a := range s.Platform {
+		c, err := source.New(source.Config{Base: "http://" + a.String()})
+		if err != nil {
+			return nil, err
+		}
+		clients = append(clients, c)
+	}
+	platform, err := source.NewReplicas(clients)
+	if err != nil {
+		return nil, err
+	}
+	var seeds []prim.HostName
+	for _, e := range s.Seeds {
+		seeds = append(seeds, e.Name)
+	}
+	return gossip.New(gossip.Config{
+		Self:       s.Name,
+		DataCentre: s.DataCentre,
+		Seeds:      seeds,
+		Parse:      n.parse,
+		Transport:  n.peers,
+		Platform:   platform,
+		Log:        n.log,
+	})
+}
+
+// parse checks a document and returns the view with it in place. Findings that
+// concern several documents do not refuse it: the others may be about to
+// change as well. They are logged, and primrosethread check refuses them
+// before they are published.
+func (n *Node) parse(d prim.Document, current *prim.View) (*prim.View, error) {
+	set := config.Set{
+		Plans:       &current.Plans,
+		Allowances:  &current.Allowances,
+		DataCentres: &current.DataCentres,
+		Hosts:       &current.Hosts,
+	}
+	if err := set.Parse(d.Name, d.Body); err != nil {
+		return nil, err
+	}
+	complete := len(current.Digests) == len(prim.DocumentNames)
+	if across := set.CheckAcross(); complete && len(across) > 0 {
+		n.log.Warn("documents do not fit together", "Document", d.Name, "Version", d.Version,
+			"Findings", len(across), "First", across[0].String())
+	}
+	return set.View(nil), nil
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,208 @@
+// Package node assembles one primrosethread process: the only package besides
+// the commands that knows which implementation stands behind each port.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/admit"
+	"github.com/primrosethread/primrosethread/config"
+	"github.com/primrosethread/primrosethread/front"
+	"github.com/primrosethread/primrosethread/gossip"
+	"github.com/primrosethread/primrosethread/owner"
+	"github.com/primrosethread/primrosethread/peers"
+	"github.com/primrosethread/primrosethread/retry"
+	"github.com/primrosethread/primrosethread/route"
+	"github.com/primrosethread/primrosethread/server"
+)
+
+// loadReportEvery is the time between two reads of the server's load report.
+// The report lags by itself, so reading it more often tells little more.
+const loadReportEvery = 500 * time.Millisecond
+
+// Config configures a Node.
+type Config struct {
+	Settings config.Node
+	Logger   *slog.Logger
+	Version  string
+}
+
+// Node is one process of the system.
+type Node struct {
+	c         Config
+	log       *slog.Logger
+	instance  prim.Instance
+	started   time.Time
+	documents *gossip.Node
+	peers     *peers.Peers
+	server    *server.Client
+	admitter  *admit.Admitter
+	caller    *retry.Caller
+	front     *front.Front
+	leaving   leaving
+}
+
+// New builds a node that serves nothing yet.
+func New(c Config) (*Node, error) {
+	s := &c.Settings
+	n := &Node{c: c, log: c.Logger, instance: prim.NewInstance(), started: time.Now()}
+	var err error
+	n.peers, err = peers.New(peers.Config{
+		Self:     s.Name,
+		Instance: n.instance,
+		Key:      s.FleetKey.Bytes(),
+		Resolve:  n.resolve,
+		Logger:   n.log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if n.documents, err = n.newDocuments(); err != nil {
+		return nil, err
+	}
+	n.server = server.New(server.Config{Host: s.Name, Address: s.Server, Connections: 1})
+	n.admitter = admit.New(admit.Config{
+		Host: s.Name,
+		Cold: func(why string) { n.log.Info("server treated as cold", "Why", why) },
+		Paused: func(gap time.Duration) {
+			n.log.Warn("process was paused", "Gap", gap)
+		},
+	})
+	n.peers.SetLocal(owner.New(owner.Config{Host: s.Name, Server: n.server, Admitter: n.admitter}))
+	policy, err := route.New(s.Policy, route.Config{})
+	if err != nil {
+		return nil, err
+	}
+	n.caller = retry.New(retry.Config{
+		Host:      s.Name,
+		Costs:     costs(s),
+		Documents: n.documents,
+		Members:   everyone{},
+		Policy:    policy,
+		Owners:    n.peers,
+	})
+	n.front = front.New(front.Config{
+		Documents: n.documents,
+		Ledger:    planOnly{n.documents},
+		Caller:    n.caller,
+		Recorder:  discard{},
+		Logger:    n.log,
+	})
+	return n, nil
+}
+
+// costs lists the distance of every data centre from this one.
+func costs(s *config.Node) map[prim.DataCentre]time.Duration {
+	m := map[prim.DataCentre]time.Duration{s.DataCentre: 0}
+	for _, c := range s.Costs {
+		for _, d := range []prim.DataCentre{c.A, c.B} {
+			m[d] = s.Cost(s.DataCentre, d)
+		}
+	}
+	return m
+}
+
+// resolve returns the address of a host's node.
+func (n *Node) resolve(h prim.HostName) (netip.AddrPort, bool) {
+	if e, ok := n.documents.View().Host(h); ok && e.State != prim.HostLost {
+		return e.Address, true
+	}
+	// A node that joins while the platform is down knows only its seeds.
+	for _, e := range n.c.Settings.Seeds {
+		if e.Name == h {
+			return e.Address, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// Run serves until the context ends, then stops gracefully: it tells peers,
+// admits nothing new, and finishes the requests in flight. It returns nil
+// after a planned stop.
+func (n *Node) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", n.c.Settings.Listen.String())
+	if err != nil {
+		return fmt.Errorf("listen for callers and peers: %w; free the address or change -listen", err)
+	}
+	admin, err := net.Listen("tcp", n.c.Settings.AdminListen.String())
+	if err != nil {
+		listener.Close()
+		return fmt.Errorf("listen for metrics and status: %w; free the address or change -admin-listen", err)
+	}
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	ended := n.start(background)
+
+	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	router.Handle(peers.Path, n.peers.Handler())
+	n.front.Mount(router)
+	callers := newServer(router)
+	status := newServer(n.adminRoutes())
+	served := make(chan error, 2)
+	go func(context.Context) { served <- callers.Serve(listener) }(ctx)
+	go func(context.Context) { served <- status.Serve(admin) }(ctx)
+	n.log.Info("node started", "Listen", listener.Addr().String(), "Admin", admin.Addr().String(), "Instance", n.instance)
+
+	select {
+	case <-ctx.Done():
+	case err := <-served:
+		served <- err
+		n.log.Error("listener failed", "Error", err)
+	}
+	err = n.drain(callers)
+	status.Close()
+	n.peers.Close()
+	stop()
+	for _, e := range ended {
+		<-e
+	}
+	n.server.Close()
+	for range 2 {
+		if e := <-served; !errors.Is(e, http.ErrServerClosed) {
+			err = errors.Join(err, e)
+		}
+	}
+	n.log.Info("node stopped", "Error", err)
+	return err
+}
+
+// start starts the background work and returns the channels on which it
+// reports its end.
+func (n *Node) start(ctx context.Context) []<-chan error {
+	return []<-chan error{
+		n.documents.Run(ctx),
+		n.admitter.Run(ctx),
+		n.follow(ctx),
+		server.Watch(ctx, server.WatchConfig{
+			URL:       "http://" + n.c.Settings.Server.String() + "/load",
+			Every:     loadReportEvery,
+			Restarted: func() { n.admitter.Suspect("the server's start id changed") },
+			Draining:  func(d bool) { n.leaving.set(n, byServer, d) },
+		}),
+	}
+}
+
+// Bounds on callers' connections.
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 90 * time.Second
+)
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    prim.MaxHeaderBytes,
+	}
+}
--- /dev/null
+++ b/node/status.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/gossip"
+	"github.com/primrosethread/primrosethread/peers"
+	"github.com/primrosethread/primrosethread/server"
+)
+
+// Status is what one node sees.
+type Status struct {
+	Host       prim.HostName
+	DataCentre prim.DataCentre
+	Instance   prim.Instance
+	Version    string
+	Uptime     time.Duration
+	Leaving    leaveReason
+	Documents  gossip.Status
+	Load       prim.Sample
+	Server     server.Status
+	Peers      peers.Status
+}
+
+// Status returns the current state.
+func (n *Node) Status() Status {
+	return Status{
+		Host:       n.c.Settings.Name,
+		DataCentre: n.c.Settings.DataCentre,
+		Instance:   n.instance,
+		Version:    n.c.Version,
+		Uptime:     time.Since(n.started).Round(time.Second),
+		Leaving:    n.leaving.get(),
+		Documents:  n.documents.Status(),
+		Load:       n.admitter.Sample(),
+		Server:     n.server.Status(),
+		Peers:      n.peers.Status(),
+	}
+}
+
+// ready reports whether the node has every document and can place requests.
+func (n *Node) ready() bool {
+	return len(n.documents.View().Digests) == len(prim.DocumentNames)
+}
+
+func (n *Node) adminRoutes() http.Handler {
+	r := mux.NewRouter()
+	r.Handle("/debug/vars", expvar.Handler())
+	r.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(n.Status())
+	})
+	r.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !n.ready() {
+			http.Error(w, "documents are missing; see /status", http.StatusServiceUnavailable)
+		}
+	})
+	return r
+}
--- a/peers/accept.go
+++ b/peers/accept.go
@@ -23,7 +23,7 @@
 		http.Error(w, err.Error(), http.StatusUnauthorized)
 		return
 	}
-	w.Header().Set(headerInstance, instanceText(p.c.Instance))
+	w.Header().Set(headerInstance, p.c.Instance.String())
 	w.Header().Set(headerProof, countersign(p.c.Key, p.c.Self, p.c.Instance, r.Header.Get(headerProof)))
 	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
@@ -37,7 +37,8 @@
 	defer p.end()
 	p.accepted.Add(1)
 	defer p.accepted.Add(-1)
-	if i, err := parseInstance(r.Header.Get(headerInstance)); err == nil {
+	var i prim.Instance
+	if err := i.UnmarshalText([]byte(r.Header.Get(headerInstance))); err == nil {
 		p.c.Seen(from, i)
 	}
 	a := &acceptor{
--- a/peers/group.go
+++ b/peers/group.go
@@ -155,15 +155,15 @@
 		HTTPHeader: http.Header{
 			headerProof:    {proof},
 			headerHost:     {string(p.c.Self)},
-			headerInstance: {instanceText(p.c.Instance)},
+			headerInstance: {p.c.Instance.String()},
 		},
 		CompressionMode: websocket.CompressionDisabled,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("dial host %q at %s: %w", host, addr, err)
 	}
-	instance, err := parseInstance(resp.Header.Get(headerInstance))
-	if err != nil || resp.Header.Get(headerProof) != countersign(p.c.Key, host, instance, proof) {
+	var instance prim.Instance
+	if err := instance.UnmarshalText([]byte(resp.Header.Get(headerInstance))); err != nil || resp.Header.Get(headerProof) != countersign(p.c.Key, host, instance, proof) {
 		conn.CloseNow()
 		return nil, fmt.Errorf("host %q at %s did not prove the fleet key; check the address in the host list", host, addr)
 	}
