--- a/cmd/standin/platform_test.go
+++ b/cmd/standin/platform_test.go
@@ -119,8 +119,8 @@
 // Guards against the stand-in serving more reads than the real service would,
 // and against reads that are not counted.
 func TestLimitAndCounts(t *testing.T) {
-	is := is.New(t)
 	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
 		p, _ := testPlatform(t, 2000)
 		h := p.handler()
 		ok := 0
@@ -143,8 +143,8 @@
 // Guards against a stale replica that shows changes or advances Issued, and
 // against a down service that answers.
 func TestPlatformFaults(t *testing.T) {
-	is := is.New(t)
 	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
 		p, dir := testPlatform(t, 1e6)
 		h := p.handler()
 		is.Equal(do(h, "POST", "/fault", `{"Stale":true}`).Code, 200)
@@ -177,8 +177,8 @@
 // Guards against a watch that misses a change, returns without one, or outlives
 // a service that is down.
 func TestWatch(t *testing.T) {
-	is := is.New(t)
 	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
 		p, dir := testPlatform(t, 1e6)
 		h := p.handler()
 		is.Equal(do(h, "GET", "/v1/watch?after=0", "").Header().Get(indexHeader), "1")
--- a/cmd/standin/server.go
+++ b/cmd/standin/server.go
@@ -185,6 +185,10 @@
 	case <-s.free:
 		defer func() { s.free <- struct{}{} }()
 	case <-ctx.Done():
+	}
+	// A slot that becomes free at the deadline must not start late work, even if
+	// the timer of the context has not run yet.
+	if end, ok := ctx.Deadline(); ctx.Err() != nil || ok && !time.Now().Before(end) {
 		s.ended(ctx)
 		s.shed(w, "the time ran out before a slot was free")
 		return
@@ -311,10 +315,10 @@
 
 // ended counts why a request ended early.
 func (s *server) ended(ctx context.Context) {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		s.counts.Expired.Add(1)
-	} else {
+	if errors.Is(ctx.Err(), context.Canceled) {
 		s.counts.Cancelled.Add(1)
+	} else {
+		s.counts.Expired.Add(1)
 	}
 }
 
