--- a/cmd/primrosethread/node.go
+++ b/cmd/primrosethread/node.go
@@ -8,9 +8,7 @@
 	"io"
 	"log/slog"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/primrosethread/primrosethread/config"
 	"github.com/primrosethread/primrosethread/node"
@@ -21,31 +19,29 @@
 // latency.
 const gcPercent = 400
 
-// runNode runs a node until SIGTERM or SIGINT.
-func runNode(args []string, out io.Writer) int {
+// runNode runs a node until the context ends.
+func runNode(ctx context.Context, args []string, out, errs io.Writer) int {
 	settings, err := config.ParseNode(args, os.LookupEnv, out)
 	if errors.Is(err, flag.ErrHelp) {
-		return 2
+		return exitUsage
 	}
 	if err != nil {
-		fmt.Fprintln(out, "primrosethread node:", err)
-		return 2
+		fmt.Fprintln(errs, "primrosethread node:", err)
+		return exitUsage
 	}
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
-	n, err := node.New(node.Config{Settings: *settings, Logger: logger(settings, out), Version: version})
+	n, err := node.New(node.Config{Settings: *settings, Logger: logger(settings, errs), Version: version})
 	if err != nil {
-		fmt.Fprintln(out, "primrosethread node:", err)
-		return 1
+		fmt.Fprintln(errs, "primrosethread node:", err)
+		return exitFailed
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	if err := n.Run(ctx); err != nil {
-		fmt.Fprintln(out, "primrosethread node:", err)
-		return 1
+		fmt.Fprintln(errs, "primrosethread node:", err)
+		return exitFailed
 	}
-	return 0
+	return exitOK
 }
 
 func logger(s *config.Node, out io.Writer) *slog.Logger {
