make: find all packages whose tests use bubbles

Cause: package gossip enters bubbles through rapid.SyncTest and was missed by the search for imports of testing/synctest. Ruled out: running every package on one processor, which would hide races that need real parallelism in the tests with sockets. Change: the search reads the test files.

--- a/Makefile
+++ b/Makefile
@@ -8,11 +8,10 @@
 build:
 	go build -o bin/ ./cmd/...
 
-# Packages whose tests use testing/synctest run on one processor: with the race
+# Packages whose tests use synctest bubbles run on one processor: with the race
 # detector, Go 1.26 crashes when goroutines of one bubble on several processors
 # poll timer channels that are due.
-IMPORTS := {{range .TestImports}}{{.}} {{end}}{{range .XTestImports}}{{.}} {{end}}
-BUBBLES = $(shell go list -f '{{.ImportPath}} $(IMPORTS)' ./... | awk '/ testing\/synctest / {print $$1}')
+BUBBLES = $(shell grep -rlE 'testing/synctest|rapid.SyncTest' --include='*_test.go' . | xargs -n1 dirname | sort -u | xargs go list)
 OTHERS = $(filter-out $(BUBBLES),$(shell go list ./...))
 
 test:
