member: bounded probing of peers; node: metrics, keyed requests, members

Cause: hosts that cannot be reached were chosen until their deadline, and the node kept no metrics and refused requests with an idempotency key. Conclusion: allowances are the part that the node still lacks.

--- a/cmd/bench/latency.go
+++ b/cmd/bench/latency.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -187,10 +186,6 @@
 	if err := json.Unmarshal(b, &vars); err != nil {
 		return err
 	}
-	for name, v := range vars {
-		if strings.HasPrefix(name, "Primrosethread") {
-			fmt.Fprintln(w, strconv.Quote(string(h.Place.Host)), name, string(v))
-		}
-	}
+	fmt.Fprintf(w, "%s: %s\n", h.Place.Host, vars["Requests"])
 	return nil
 }
--- a/front/front.go
+++ b/front/front.go
@@ -45,8 +45,8 @@
 	Caller    prim.Caller
 	Recorder  prim.Recorder
 	// KeyCreated returns when a key was first used, from the key itself or
-	// from the time that the caller states; zero if unknown.
-	KeyCreated func(key string, stated time.Time) time.Time
+	// from the value of HeaderAttempted; zero if unknown.
+	KeyCreated func(key, attempted string) time.Time
 	Logger     *slog.Logger
 }
 
@@ -59,7 +59,7 @@
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
 	if c.KeyCreated == nil {
-		c.KeyCreated = func(_ string, stated time.Time) time.Time { return stated }
+		c.KeyCreated = func(string, string) time.Time { return time.Time{} }
 	}
 	return &Front{c: c}
 }
@@ -160,15 +160,14 @@
 	if len(r.Key) > maxKey {
 		return refused(http.StatusBadRequest, HeaderKey+" too long", "use at most 255 bytes, for example a UUIDv7")
 	}
-	var stated time.Time
-	if s := r.Header.Get(HeaderAttempted); s != "" {
-		var err error
-		if stated, err = time.Parse(time.RFC3339, s); err != nil {
+	attempted := r.Header.Get(HeaderAttempted)
+	if attempted != "" {
+		if _, err := time.Parse(time.RFC3339, attempted); err != nil {
 			return refused(http.StatusBadRequest, "malformed "+HeaderAttempted, "send the time of the first attempt as in RFC 3339")
 		}
 	}
 	if r.Key != "" {
-		r.KeyCreated = f.c.KeyCreated(r.Key, stated)
+		r.KeyCreated = f.c.KeyCreated(r.Key, attempted)
 	}
 	return nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -19,11 +19,14 @@
 	"github.com/primrosethread/primrosethread/config"
 	"github.com/primrosethread/primrosethread/front"
 	"github.com/primrosethread/primrosethread/gossip"
+	"github.com/primrosethread/primrosethread/member"
+	"github.com/primrosethread/primrosethread/once"
 	"github.com/primrosethread/primrosethread/owner"
 	"github.com/primrosethread/primrosethread/peers"
 	"github.com/primrosethread/primrosethread/retry"
 	"github.com/primrosethread/primrosethread/route"
 	"github.com/primrosethread/primrosethread/server"
+	"github.com/primrosethread/primrosethread/stats"
 )
 
 // loadReportEvery is the time between two reads of the server's load report.
@@ -47,7 +50,10 @@
 	peers     *peers.Peers
 	server    *server.Client
 	admitter  *admit.Admitter
+	records   *once.Owner
 	caller    *retry.Caller
+	recorder  *stats.Recorder
+	members   *member.Members
 	front     *front.Front
 	leaving   leaving
 }
@@ -62,6 +68,7 @@
 		Instance: n.instance,
 		Key:      s.FleetKey.Bytes(),
 		Resolve:  n.resolve,
+		Seen:     func(h prim.HostName, i prim.Instance) { n.members.Seen(h, i) },
 		Logger:   n.log,
 	})
 	if err != nil {
@@ -70,6 +77,10 @@
 	if n.documents, err = n.newDocuments(); err != nil {
 		return nil, err
 	}
+	n.members = member.New(member.Config{
+		Host: s.Name, DataCentre: s.DataCentre, Instance: n.instance,
+		Documents: n.documents, Transport: n.peers,
+	})
 	n.server = server.New(server.Config{Host: s.Name, Address: s.Server, Connections: 1})
 	n.admitter = admit.New(admit.Config{
 		Host: s.Name,
@@ -78,25 +89,49 @@
 			n.log.Warn("process was paused", "Gap", gap)
 		},
 	})
-	n.peers.SetLocal(owner.New(owner.Config{Host: s.Name, Server: n.server, Admitter: n.admitter}))
+	n.records = once.NewOwner(once.OwnerConfig{
+		Host:      s.Name,
+		Next:      owner.New(owner.Config{Host: s.Name, Server: n.server, Admitter: n.admitter}),
+		Documents: n.documents,
+		Transport: n.peers,
+		Started:   n.started,
+		Bytes:     int64(s.RecordBytes),
+	})
+	n.peers.SetLocal(n.records)
 	policy, err := route.New(s.Policy, route.Config{})
 	if err != nil {
 		return nil, err
 	}
+	n.recorder = stats.New(stats.Config{})
+	walker := once.NewWalker(once.WalkerConfig{
+		Host:      s.Name,
+		Documents: n.documents,
+		Members:   n.members,
+		Policy:    policy,
+		Owners:    n.peers,
+		Again: func(ctx context.Context, r *prim.Request, delay time.Duration) error {
+			return n.caller.Again(ctx, r, delay)
+		},
+	})
 	n.caller = retry.New(retry.Config{
 		Host:      s.Name,
 		Costs:     costs(s),
 		Documents: n.documents,
-		Members:   everyone{},
+		Members:   n.members,
 		Policy:    policy,
 		Owners:    n.peers,
+		Keyed:     walker,
+		Recorder:  n.recorder,
+		Queue:     s.MaxWaiting,
 	})
 	n.front = front.New(front.Config{
 		Documents: n.documents,
 		Ledger:    planOnly{n.documents},
 		Caller:    n.caller,
-		Recorder:  discard{},
+		Recorder:  n.recorder,
 		Logger:    n.log,
+
+		KeyCreated: once.Created,
 	})
 	return n, nil
 }
@@ -181,7 +216,9 @@
 func (n *Node) start(ctx context.Context) []<-chan error {
 	return []<-chan error{
 		n.documents.Run(ctx),
+		n.members.Run(ctx),
 		n.admitter.Run(ctx),
+		n.caller.Run(ctx),
 		n.follow(ctx),
 		server.Watch(ctx, server.WatchConfig{
 			URL:       "http://" + n.c.Settings.Server.String() + "/load",
--- a/node/status.go
+++ b/node/status.go
@@ -10,8 +10,10 @@
 
 	prim "github.com/primrosethread/primrosethread"
 	"github.com/primrosethread/primrosethread/gossip"
+	"github.com/primrosethread/primrosethread/member"
 	"github.com/primrosethread/primrosethread/peers"
 	"github.com/primrosethread/primrosethread/server"
+	"github.com/primrosethread/primrosethread/stats"
 )
 
 // Status is what one node sees.
@@ -23,7 +25,9 @@
 	Uptime     time.Duration
 	Leaving    leaveReason
 	Documents  gossip.Status
+	Members    member.Status
 	Load       prim.Sample
+	Requests   stats.Snapshot
 	Server     server.Status
 	Peers      peers.Status
 }
@@ -38,7 +42,9 @@
 		Uptime:     time.Since(n.started).Round(time.Second),
 		Leaving:    n.leaving.get(),
 		Documents:  n.documents.Status(),
+		Members:    n.members.Status(),
 		Load:       n.admitter.Sample(),
+		Requests:   n.recorder.Snapshot(),
 		Server:     n.server.Status(),
 		Peers:      n.peers.Status(),
 	}
@@ -51,7 +57,7 @@
 
 func (n *Node) adminRoutes() http.Handler {
 	r := mux.NewRouter()
-	r.Handle("/debug/vars", expvar.Handler())
+	r.HandleFunc("/debug/vars", n.vars)
 	r.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		json.NewEncoder(w).Encode(n.Status())
@@ -63,3 +69,12 @@
 	})
 	return r
 }
+
+// vars writes the variables of expvar and this node's own. They are not
+// published in the global table, so that several nodes can run in one process.
+func (n *Node) vars(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	vars := map[string]json.RawMessage{"Requests": json.RawMessage(n.recorder.String())}
+	expvar.Do(func(kv expvar.KeyValue) { vars[kv.Key] = json.RawMessage(kv.Value.String()) })
+	json.NewEncoder(w).Encode(vars)
+}
