demo: a fleet as processes, with its promises checked from the ledgers

Cause: a newcomer and every change need one command that runs the whole system and tells whether its outcomes are true. Ruled out: counting only doubled runs, which passes if nothing runs or ids are lost on the way; a closed loop, which hides slowness by sending less; trusting a signal handler alone to leave no process, since the demo may be killed. Change: cmd/demo writes the documents of a fleet, starts platform, servers and nodes, waits, sends an open loop of mixed requests with repeated idempotency keys, and compares every outcome with the servers' ledgers; make demo. Conclusion: the demo can be used as soon as the node command exists. It expects nodes to pass the header Primrosethread-Request-Id on to servers.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 export RAPID_CHECKS ?= 200
 export RAPID_NOFAILFILE ?= true
 
-.PHONY: build test lint
+.PHONY: build test lint demo
 
 build:
 	go build -o bin/ ./cmd/...
@@ -13,3 +13,7 @@
 
 lint:
 	go tool -modfile=tools.mod staticcheck ./...
+
+# Starts a fleet as processes on the loopback interface and checks its promises.
+demo: build
+	bin/demo -bin bin $(DEMO)
--- /dev/null
+++ b/cmd/demo/main.go
@@ -0,0 +1,123 @@
+// Command demo starts a whole fleet as processes on the loopback interface,
+// sends it mixed requests, and checks from the servers' ledgers that every
+// outcome was true: no request ran twice that must not, and none ran that was
+// answered NotRun.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// limit bounds a run without its stop, which takes up to 15 s, so that a run ends
+// within 60 s in any case.
+const limit = 42 * time.Second
+
+// settings holds the flags.
+type settings struct {
+	bin, fleet string
+	length     time.Duration // of the load
+	rate       int           // requests a second
+	repeats    float64       // share of keyed requests that are sent twice
+	keep       bool          // keep the folder with documents and logs
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:], os.Stdout)
+	stop()
+	os.Exit(code)
+}
+
+// run parses the flags, runs the demo and returns the exit status.
+func run(ctx context.Context, args []string, out io.Writer) int {
+	var s settings
+	fs := flag.NewFlagSet("demo", flag.ContinueOnError)
+	fs.SetOutput(out)
+	fs.StringVar(&s.bin, "bin", "bin", "folder that holds the binaries primrosethread and standin")
+	fs.StringVar(&s.fleet, "fleet", "tasmania", "fleet to start: "+strings.Join(fleetNames(), " or "))
+	fs.DurationVar(&s.length, "length", 10*time.Second, "length of the load, 1s to 20s")
+	fs.IntVar(&s.rate, "rate", 400, "requests a second, 1 to 5000")
+	fs.Float64Var(&s.repeats, "repeats", 0.1, "share of requests with an idempotency key that are sent twice, 0 to 1")
+	fs.BoolVar(&s.keep, "keep", false, "keep the folder with documents and logs")
+	if fs.Parse(args) != nil {
+		return 2
+	}
+	f, ok := fleets[s.fleet]
+	switch {
+	case !ok:
+		fmt.Fprintf(out, "-fleet: %q is not known; write one of %s\n", s.fleet, strings.Join(fleetNames(), ", "))
+		return 2
+	case s.length < time.Second || s.length > 20*time.Second || s.rate < 1 || s.rate > 5000 || !(s.repeats >= 0 && s.repeats <= 1) || fs.NArg() > 0:
+		fmt.Fprintln(out, "write -length 1s to 20s, -rate 1 to 5000, -repeats 0 to 1, and no further arguments")
+		return 2
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if err := demo(ctx, f, s, out); err != nil {
+		fmt.Fprintln(out, "demo failed:", err)
+		return 1
+	}
+	return 0
+}
+
+// demo runs one fleet from start to stop.
+func demo(ctx context.Context, f fleet, s settings, out io.Writer) (err error) {
+	folder, err := os.MkdirTemp("", "primrosethread-demo-")
+	if err != nil {
+		return err
+	}
+	if s.keep {
+		fmt.Fprintln(out, "documents and logs are in", folder)
+	} else {
+		defer os.RemoveAll(folder)
+	}
+	d, err := place(f, folder)
+	if err != nil {
+		return err
+	}
+	group, err := start(ctx, s.bin, d)
+	defer func() {
+		if e := group.stop(); e != nil && err == nil {
+			err = e
+		}
+	}()
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "fleet %s: %d data centres, %d hosts, %s\n", f.name, len(f.centres), len(d.hosts), f.summary())
+	if err := group.while(ctx, func(ctx context.Context) error { return d.ready(ctx) }); err != nil {
+		return fmt.Errorf("the fleet is not ready: %w", err)
+	}
+	fmt.Fprintf(out, "ready; sending %d requests a second for %s\n", s.rate, s.length)
+	l := newLoad(f, d, s.repeats)
+	if err := group.while(ctx, func(ctx context.Context) error { return l.run(ctx, s.rate, s.length) }); err != nil {
+		return fmt.Errorf("the load was not sent: %w", err)
+	}
+	ledger, err := d.ledger(ctx)
+	if err != nil {
+		return err
+	}
+	// Nodes are stopped before the verdict, so that their exit is part of it.
+	if err := group.stop(); err != nil {
+		return err
+	}
+	return l.report(out, ledger)
+}
+
+func fleetNames() []string {
+	var names []string
+	for n := range fleets {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
