--- a/stats/stats.go
+++ b/stats/stats.go
@@ -101,7 +101,11 @@
 	default:
 		s.unknown.Add(1)
 	}
-	s.took.record(took, now)
+	// Refusals for the caller's own cause, such as 429, take no time and would
+	// hide the latency of the calls that were let in.
+	if o != prim.NotRun || status >= 500 {
+		s.took.record(took, now)
+	}
 	if added > 0 {
 		w := get(&r.mu, &r.added, q.Class, r.c.MaxSeries, Other, func() *window { return newWindow(r.c.Window, now) })
 		w.record(added, now)
@@ -174,7 +178,8 @@
 }
 
 // RequestSummary sums up the requests of one customer and class. The counts
-// are since the start; the latency is that of the current window and the last.
+// are since the start; the latency is that of the current window and the last,
+// without calls that were refused with a status below 500.
 type RequestSummary struct {
 	Customer              prim.Customer
 	Class                 prim.Class
--- a/stats/stats_test.go
+++ b/stats/stats_test.go
@@ -23,22 +23,25 @@
 	return &prim.Request{Customer: prim.Customer(c), Class: prim.Class(class)}
 }
 
-// Guards against outcomes counted under another one, and against an unknown
-// added time that counts as zero.
+// Guards against outcomes counted under another one, against an unknown added
+// time that counts as zero, and against refusals over an allowance that hide the
+// latency of other calls.
 func TestOutcomes(t *testing.T) {
 	is := is.New(t)
 	r := stats.New(stats.Config{})
 	q := request("a", "Deposit")
 	r.Request(q, prim.Done, 200, time.Millisecond, 100*time.Microsecond)
 	r.Request(q, prim.Done, 503, time.Millisecond, 0)
-	r.Request(q, prim.NotRun, 429, time.Millisecond, 0)
+	r.Request(q, prim.NotRun, 429, time.Microsecond, 0)
+	r.Request(q, prim.NotRun, 503, time.Second, 0)
 	r.Request(q, prim.Unknown, 502, time.Millisecond, 0)
 	r.Count("Refused", 2)
 	r.Count("Refused", 3)
 	s := r.Snapshot()
 	is.Equal(len(s.Requests), 1)
 	one := s.Requests[0]
-	is.Equal([]int64{one.Done, one.NotRun, one.Unknown, one.ServerErrors, one.Latency.Count}, []int64{2, 1, 1, 1, 4})
+	is.True(math.Abs(one.Latency.P50Ms-1) <= 0.01)
+	is.Equal([]int64{one.Done, one.NotRun, one.Unknown, one.ServerErrors, one.Latency.Count}, []int64{2, 2, 1, 1, 4})
 	is.Equal(s.Added[0].Latency.Count, int64(1))
 	is.Equal(s.Added[0].Latency.MaxMs, 0.1)
 	is.Equal(s.Counters["Refused"], int64(5))
