--- a/once/once.go
+++ b/once/once.go
@@ -19,8 +19,11 @@
 //   - Two nodes whose host lists were issued within the last KeyWindow compute
 //     the same candidates of c, see counts.
 //
-// A key without a creation time is kept for KeyWindow after its last use. A
-// caller that repeats such a key later than that may cause a second run.
+// A caller that does not tell the creation time must not repeat a key later than
+// half of KeyWindow after it made the key: nobody can tell such a repeat from a
+// new key. The other half allows for the time that a request takes and for pauses
+// of owners. A caller that tells it on some uses only must not have a clock that
+// is ahead by more than KeyMargin.
 package once
 
 import (
@@ -38,8 +41,8 @@
 	// KeyWindow is how long after its creation a key may be used, and how old
 	// the host list of a node that uses keys may be.
 	KeyWindow = time.Hour
-	// ClockMargin is the margin of membership. It covers KeyMargin and the
-	// skew between a node's clock and the platform's.
+	// ClockMargin is the margin of membership. It covers KeyMargin and skew
+	// between the clocks of the platform's replicas.
 	ClockMargin = time.Minute
 	// KeyMargin is how far a caller's clock may be ahead of an owner's.
 	KeyMargin = 2 * time.Second
@@ -94,5 +97,6 @@
 	errGone      = errors.New("the host that may have run the idempotency key was removed and no record was found")
 	errNotKept   = errors.New("the request ran and its answer was too long to keep")
 	errLost      = errors.New("the request was handed to the server and its answer was lost")
+	errStale     = errors.New("the host list is older than the key window; check that the node reaches the configuration service or a peer that does")
 	errSilent    = errors.New("the host that may have run the idempotency key cannot be reached")
 )
--- a/once/order.go
+++ b/once/order.go
@@ -18,12 +18,12 @@
 // counts late, and a removed one counts on, by KeyWindow + ClockMargin.
 //
 // Two nodes that use c therefore agree. Let I be the time of issue of the older
-// list, and s the skew between its node's clock and the platform's. That node
-// uses c only while its clock shows at most I + KeyWindow, and only with c at
-// most KeyMargin later, so c <= I + KeyWindow + KeyMargin + s. A change after I
-// counts only for c >= I + KeyWindow + ClockMargin. These exclude each other as
-// long as KeyMargin + s < ClockMargin. With ClockMargin = KeyMargin = 2 s, no
-// skew at all would be tolerated.
+// list. Its node uses c only while its clock t shows t < I + KeyWindow, and only
+// if c <= t + KeyMargin, so c < I + KeyWindow + KeyMargin; the skew of t drops
+// out. A change that the list lacks has a time after I, and so counts only for
+// c > I + KeyWindow + ClockMargin. These exclude each other when KeyMargin <=
+// ClockMargin. The rest of ClockMargin is for Issued, Since and Until that are
+// taken from different clocks of the platform.
 func counts(since time.Time, h *prim.Host, c time.Time) bool {
 	if !h.Since.Equal(since) && h.Since.Add(KeyWindow+ClockMargin).After(c) {
 		return false
--- a/once/owner.go
+++ b/once/owner.go
@@ -103,12 +103,6 @@
 func (o *Owner) decide(r *prim.Request, d digest, now time.Time) verdict {
 	k := idOf(r)
 	e := o.table.find(k, now)
-	if e != nil && r.KeyCreated.IsZero() && !e.created.IsZero() {
-		// A caller that no longer tells the creation time cannot be refused
-		// for the age of its key, so the record must outlast this use.
-		e.created = time.Time{}
-		o.table.keep(e, now)
-	}
 	if e != nil && e.state != absent {
 		return o.recall(e, d)
 	}
--- a/once/table.go
+++ b/once/table.go
@@ -46,6 +46,12 @@
 // the struct, the channel, and its places in the map and the heap.
 const entrySize = 512
 
+// recordTerm is how long an entry stays from the first use of its key. A dated
+// key is refused later than KeyWindow after its creation, which precedes its first
+// use, and a caller must not use an undated one even that late. The margins allow
+// for the steps of a clock that is being corrected.
+const recordTerm = KeyWindow + 2*KeyMargin
+
 type table struct {
 	limit   int64
 	bytes   int64
@@ -68,35 +74,18 @@
 			t.remove(e)
 		}
 	}
-	e := t.entries[k]
-	if e != nil && e.created.IsZero() {
-		t.keep(e, now)
-	}
-	return e
-}
-
-// keep sets how long an entry stays. It must outlast the use of its key: keys
-// are refused when their creation is longer than KeyWindow ago. The margins
-// allow for the steps of a clock that is being corrected.
-func (t *table) keep(e *entry, now time.Time) {
-	from := e.created
-	if from.IsZero() {
-		from = now
-	}
-	e.expires = from.Add(KeyWindow + 2*KeyMargin)
-	heap.Fix(&t.expiry, e.index)
+	return t.entries[k]
 }
 
 // add makes an entry, or returns nil when the bytes are used up.
 func (t *table) add(k id, created, now time.Time) *entry {
-	e := &entry{id: k, created: created, size: entrySize + int64(len(k.Service)+len(k.Customer)+len(k.Key))}
+	e := &entry{id: k, created: created, expires: now.Add(recordTerm), size: entrySize + int64(len(k.Service)+len(k.Customer)+len(k.Key))}
 	if t.bytes+e.size > t.limit {
 		return nil
 	}
 	t.bytes += e.size
 	t.entries[k] = e
 	heap.Push(&t.expiry, e)
-	t.keep(e, now)
 	return e
 }
 
--- a/once/walk.go
+++ b/once/walk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -89,7 +90,7 @@
 			select {
 			case <-changed:
 			case <-waiting.Done():
-				return k.unknown(&prim.Refusal{Reason: prim.ReasonStale, Host: k.config.Host})
+				return k.unknown(errStale)
 			}
 			continue
 		case ahead > KeyMargin:
@@ -306,6 +307,11 @@
 	}
 	started := time.Now()
 	a, err := k.config.Owners.Owner(h).Dispatch(ctx, r)
+	var lost *prim.Lost
+	if errors.As(err, &lost) {
+		// A refusal among the causes must not make it look like NotRun.
+		err = &prim.Lost{Host: lost.Host, Cause: errors.New(fmt.Sprint(lost.Cause)), Reset: lost.Reset}
+	}
 	k.report(h, a, err, time.Since(started))
 	if a == nil || a.Rest == nil {
 		end()
@@ -340,5 +346,6 @@
 
 // unknown returns the error of a request whose key may have run.
 func (k *walk) unknown(cause error) error {
-	return &prim.Lost{Host: k.config.Host, Cause: cause}
+	// The text alone: a refusal among the causes would pass for NotRun.
+	return &prim.Lost{Host: k.config.Host, Cause: errors.New(cause.Error())}
 }
