once: generate scenarios closer to the limits of the membership rule

Cause: four edits of the membership rule failed only after more scenarios than the 200 of make test.

Ruled out: more scenarios in every run, which costs time for all rules.

Change: more keys in a scenario, and changes and lags drawn closer to the times at which they count.

--- a/once/once_test.go
+++ b/once/once_test.go
@@ -65,12 +65,12 @@
 var scenarios = rapid.Custom(func(t *rapid.T) scenario {
 	few := rapid.IntRange
 	change := rapid.Custom(func(t *rapid.T) int {
-		return few(-30, 30).Draw(t, "near") + rapid.SampledFrom([]int{0, -window, -window - margin}).Draw(t, "far")
+		return few(-12, 24).Draw(t, "near") + rapid.SampledFrom([]int{0, -window, -window - margin, -window - margin}).Draw(t, "far")
 	})
 	event := rapid.OneOf(rapid.Just(0), few(1, 30))
 	return scenario{
 		Skew:     few(-200, 200).Draw(t, "skew"),
-		Lags:     rapid.SliceOfN(rapid.SampledFrom([]int{0, 12, window - 1, window - 1, window + margin + 20}), 5, 5).Draw(t, "lags"),
+		Lags:     rapid.SliceOfN(rapid.SampledFrom([]int{0, 12, window - 1, window - 1, window - 1, window + margin + 20}), 5, 5).Draw(t, "lags"),
 		Added:    rapid.SliceOfN(change, 0, 2).Draw(t, "added"),
 		Removed:  rapid.SliceOfN(change, 0, 2).Draw(t, "removed"),
 		Stops:    rapid.SliceOfN(event, 2, 2).Draw(t, "stops"),
@@ -87,7 +87,7 @@
 					}
 				}), 1, 4).Draw(t, "attempts"),
 			}
-		}), 1, 6).Draw(t, "keys"),
+		}), 4, 12).Draw(t, "keys"),
 	}
 })
 
