retry: a refusal among the causes of a lost answer is not NotRun

Cause: prim.OutcomeOf searches the causes of an error, so a Lost error that wraps a Refusal counts as NotRun although the request may have run. Such a request that is not idempotent would have been retried.

Change: an attempt keeps only the text of a lost answer's cause, and whether it was a deadline. Track counts attempts of other packages as pending.

Conclusion: safe here; prim.OutcomeOf should test for Lost first.

--- a/retry/attempt.go
+++ b/retry/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"sync"
 	"time"
@@ -18,10 +19,9 @@
 // attempt makes one attempt and reports it. It calls cancel when nothing of the
 // attempt is left, which for a streamed answer is when its Rest is closed.
 func (k *call) attempt(ctx context.Context, cancel context.CancelFunc, h *prim.Host) (*prim.Answer, error) {
-	state := k.caller.host(h.Name)
-	state.pending.Add(1)
+	untrack := k.caller.Track(h.Name)
 	end := func() {
-		state.pending.Add(-1)
+		untrack()
 		cancel()
 	}
 	started := time.Now()
@@ -33,6 +33,12 @@
 	} else {
 		a, err = k.twoStep(ctx, owner, h)
 	}
+	var lost *prim.Lost
+	if errors.As(err, &lost) {
+		// The text of the cause alone: a refusal among the causes would make
+		// a request that may have run look like NotRun.
+		err = &prim.Lost{Host: lost.Host, Cause: &cause{fmt.Sprint(lost.Cause), prim.IsTimeout(lost.Cause)}, Reset: lost.Reset}
+	}
 	k.report(ctx, h.Name, a, err, time.Since(started))
 	if err != nil {
 		end()
@@ -47,6 +53,17 @@
 	return &streamed, nil
 }
 
+// cause is the text of an error, and whether it came from a deadline.
+type cause struct {
+	text    string
+	timeout bool
+}
+
+func (c *cause) Error() string { return c.text }
+
+// Is reports whether the cause was a deadline.
+func (c *cause) Is(target error) bool { return c.timeout && target == context.DeadlineExceeded }
+
 // stream is the rest of an answer. Closing it ends the attempt.
 type stream struct {
 	io.ReadCloser
--- a/retry/fake_test.go
+++ b/retry/fake_test.go
@@ -141,7 +141,7 @@
 		if !f.LoseReply {
 			ends <- end{a, nil}
 		} else if f.Work%2 == 0 {
-			ends <- end{nil, &prim.Lost{Host: o.host, Cause: io.EOF}}
+			ends <- end{nil, &prim.Lost{Host: o.host, Cause: &prim.Refusal{Reason: prim.ReasonLeaving}}}
 		}
 	}()
 	select {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -157,9 +157,7 @@
 }
 
 // hostState is what this node knows about its own traffic to a host.
-type hostState struct {
-	pending atomic.Int64
-}
+type hostState struct{ pending atomic.Int64 }
 
 func (c *Caller) host(h prim.HostName) *hostState {
 	if v, ok := c.hosts.Load(h); ok {
@@ -169,6 +167,14 @@
 	return v.(*hostState)
 }
 
+// Track counts an attempt at a host until the returned function is called.
+// Package once tracks its attempts with it.
+func (c *Caller) Track(h prim.HostName) (end func()) {
+	state := c.host(h)
+	state.pending.Add(1)
+	return func() { state.pending.Add(-1) }
+}
+
 // Pending returns the number of this node's attempts at a host that have not
 // been answered.
 func (c *Caller) Pending(h prim.HostName) int { return int(c.host(h).pending.Load()) }
