node: allowances, graceful stop with hand-over

Cause: the ledger only checked that the plan names the service, and a planned stop could close a link before the last answer was written. Ruled out: a clock margin of one minute for allowances, with which a fleet that starts as a whole refuses every call for that minute; handing allowance slots over on every stop, since a restarted host uses its slots again. Change: package share in use with a clock margin of 2 s; a stop waits for calls of other nodes to be answered, asks callers to close their connections before idle ones are closed, and hands over records, and slots if the host leaves. The first calls of a customer that is new to an owner are refused although its burst is unused.

--- a/node/leave.go
+++ b/node/leave.go
@@ -80,27 +80,67 @@
 	n.leaving.set(n, byDocuments, h.State != prim.HostLive || v.Out(h))
 }
 
-// drainPoll is the time between two looks at the requests in flight.
-const drainPoll = 10 * time.Millisecond
+const (
+	// drainPoll is the time between two looks at the requests in flight.
+	drainPoll = 10 * time.Millisecond
+	// closeGrace is the time in which answers ask callers to close their
+	// connections, before idle ones are closed. Without it a caller that
+	// sends a request on an idle connection just then would see it cut.
+	closeGrace = 500 * time.Millisecond
+	// handOverTimeout bounds the hand-over of records and allowances.
+	handOverTimeout = 2 * time.Second
+)
+
+// closing asks callers to close their connections while this process stops.
+func (n *Node) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.leaving.get()&byStop != 0 {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
 
 // drain stops admission, waits for the requests in flight of callers and of
-// peers, and closes the listener. Requests that come in meanwhile are still
-// forwarded to other hosts.
+// peers, and hands over what others need. Requests that come in meanwhile are
+// still forwarded to other hosts.
 func (n *Node) drain(s *http.Server) error {
 	n.leaving.set(n, byStop, true)
 	ctx, cancel := context.WithTimeout(context.Background(), n.c.Settings.DrainTimeout)
 	defer cancel()
+	wait(ctx, closeGrace)
 	err := s.Shutdown(ctx)
-	for ctx.Err() == nil {
-		load := n.admitter.Sample()
-		if load.InFlight == 0 && load.Queued == 0 {
-			break
-		}
-		time.Sleep(drainPoll)
+	for ctx.Err() == nil && n.busy() {
+		wait(ctx, drainPoll)
 	}
 	if ctx.Err() != nil {
 		n.log.Error("planned stop timed out with requests in flight; raise -drain-timeout", "InFlight", n.admitter.Sample().InFlight)
 		return ctx.Err()
 	}
+	ctx, cancel = context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	if err := n.records.HandOver(ctx); err != nil {
+		n.log.Warn("idempotency records not handed over; repeats of their keys end as Unknown", "Error", err)
+	}
+	// Only a host that leaves for good gives its slots away. One that
+	// restarts uses them again.
+	if n.leaving.get()&byDocuments != 0 {
+		if err := n.ledger.HandOver(ctx); err != nil {
+			n.log.Warn("allowance slots not handed over; they stay unused", "Error", err)
+		}
+	}
 	return err
 }
+
+// busy reports whether a request is at the server, queued, or being answered.
+func (n *Node) busy() bool {
+	load := n.admitter.Sample()
+	return load.InFlight > 0 || load.Queued > 0 || n.peers.Status().Serving > 0
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/primrosethread/primrosethread/retry"
 	"github.com/primrosethread/primrosethread/route"
 	"github.com/primrosethread/primrosethread/server"
+	"github.com/primrosethread/primrosethread/share"
 	"github.com/primrosethread/primrosethread/stats"
 )
 
@@ -54,6 +55,7 @@
 	caller    *retry.Caller
 	recorder  *stats.Recorder
 	members   *member.Members
+	ledger    *share.Share
 	front     *front.Front
 	leaving   leaving
 }
@@ -103,6 +105,13 @@
 		return nil, err
 	}
 	n.recorder = stats.New(stats.Config{})
+	n.ledger, err = share.New(share.Config{
+		Self: s.Name, DataCentre: s.DataCentre, Address: s.Listen, Instance: n.instance,
+		Terms: terms(), Documents: n.documents, Transport: n.peers, Logger: n.log,
+	})
+	if err != nil {
+		return nil, err
+	}
 	walker := once.NewWalker(once.WalkerConfig{
 		Host:      s.Name,
 		Documents: n.documents,
@@ -112,6 +121,7 @@
 		Again: func(ctx context.Context, r *prim.Request, delay time.Duration) error {
 			return n.caller.Again(ctx, r, delay)
 		},
+		Track: func(h prim.HostName) func() { return n.caller.Track(h) },
 	})
 	n.caller = retry.New(retry.Config{
 		Host:      s.Name,
@@ -126,7 +136,7 @@
 	})
 	n.front = front.New(front.Config{
 		Documents: n.documents,
-		Ledger:    planOnly{n.documents},
+		Ledger:    n.ledger,
 		Caller:    n.caller,
 		Recorder:  n.recorder,
 		Logger:    n.log,
@@ -136,6 +146,18 @@
 	return n, nil
 }
 
+// clockMargin bounds the difference between two hosts' wall clocks. Time daemons
+// keep them within tens of milliseconds. A new instance owns no part of an
+// allowance for as long, so a longer margin would delay a fleet's start.
+const clockMargin = 2 * time.Second
+
+// terms are the times that allowances rest on, the same in the whole fleet.
+func terms() share.Terms {
+	t := share.DefaultTerms
+	t.ClockMargin = clockMargin
+	return t
+}
+
 // costs lists the distance of every data centre from this one.
 func costs(s *config.Node) map[prim.DataCentre]time.Duration {
 	m := map[prim.DataCentre]time.Duration{s.DataCentre: 0}
@@ -181,7 +203,7 @@
 	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
 	router.Handle(peers.Path, n.peers.Handler())
 	n.front.Mount(router)
-	callers := newServer(router)
+	callers := newServer(n.closing(router))
 	status := newServer(n.adminRoutes())
 	served := make(chan error, 2)
 	go func(context.Context) { served <- callers.Serve(listener) }(ctx)
@@ -219,6 +241,7 @@
 		n.members.Run(ctx),
 		n.admitter.Run(ctx),
 		n.caller.Run(ctx),
+		n.ledger.Run(ctx),
 		n.follow(ctx),
 		server.Watch(ctx, server.WatchConfig{
 			URL:       "http://" + n.c.Settings.Server.String() + "/load",
--- a/node/status.go
+++ b/node/status.go
@@ -13,6 +13,7 @@
 	"github.com/primrosethread/primrosethread/member"
 	"github.com/primrosethread/primrosethread/peers"
 	"github.com/primrosethread/primrosethread/server"
+	"github.com/primrosethread/primrosethread/share"
 	"github.com/primrosethread/primrosethread/stats"
 )
 
@@ -28,6 +29,7 @@
 	Members    member.Status
 	Load       prim.Sample
 	Requests   stats.Snapshot
+	Allowances []share.Status
 	Server     server.Status
 	Peers      peers.Status
 }
@@ -45,6 +47,7 @@
 		Members:    n.members.Status(),
 		Load:       n.admitter.Sample(),
 		Requests:   n.recorder.Snapshot(),
+		Allowances: n.ledger.Status(),
 		Server:     n.server.Status(),
 		Peers:      n.peers.Status(),
 	}
--- a/peers/accept.go
+++ b/peers/accept.go
@@ -146,6 +146,8 @@
 			a.ask(ctx, &h, body)
 			return
 		}
+		a.p.serving.Add(1)
+		defer a.p.serving.Add(-1)
 		a.run(ctx, &h, body, now)
 	}(ctx)
 	return nil
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -76,6 +76,7 @@
 
 	dialled  atomic.Int64
 	accepted atomic.Int64
+	serving  atomic.Int64
 	bytesIn  atomic.Int64
 	bytesOut atomic.Int64
 }
@@ -159,6 +160,7 @@
 type Status struct {
 	Dialled  int64 // open links that this node dialled
 	Accepted int64 // open links that other nodes dialled
+	Serving  int64 // calls of other nodes that are in progress here
 	BytesIn  int64
 	BytesOut int64
 }
@@ -168,6 +170,7 @@
 	return Status{
 		Dialled:  p.dialled.Load(),
 		Accepted: p.accepted.Load(),
+		Serving:  p.serving.Load(),
 		BytesIn:  p.bytesIn.Load(),
 		BytesOut: p.bytesOut.Load(),
 	}
