--- a/cmd/bench/latency.go
+++ b/cmd/bench/latency.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"time"
@@ -51,6 +52,7 @@
 	service := fs.Duration("service-time", time.Millisecond, "service time of the server")
 	size := fs.Int("size", 200, "body size of a request in bytes")
 	seed := fs.Uint64("seed", 1, "seed of the arrivals")
+	profile := fs.String("profile", "", "folder for processor profiles of the two nodes")
 	if err := fs.Parse(args); err != nil {
 		return err
 	}
@@ -74,7 +76,16 @@
 	for _, p := range paths {
 		p.seen, p.bad = nil, 0
 	}
+	profiled := make(chan error, 2)
+	for _, h := range []*fleet.Host{target, ingress} {
+		go func(ctx context.Context) { profiled <- takeProfile(ctx, h, *profile, *seconds) }(ctx)
+	}
 	load(ctx, paths, *rate, *seconds, *size, *seed+1)
+	for range 2 {
+		if err := <-profiled; err != nil {
+			return err
+		}
+	}
 	report(os.Stdout, paths)
 	for _, h := range []*fleet.Host{target, ingress} {
 		if err := nodeReport(ctx, os.Stdout, h); err != nil {
@@ -84,6 +95,18 @@
 	return nil
 }
 
+// takeProfile writes a processor profile of a node; an empty folder takes none.
+func takeProfile(ctx context.Context, h *fleet.Host, folder string, length time.Duration) error {
+	if folder == "" {
+		return nil
+	}
+	b, err := fleet.Get(ctx, fmt.Sprintf("%s/debug/pprof/profile?seconds=%d", address(h.Admin), int(length.Seconds())))
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(folder, string(h.Place.Host)+".pprof"), b, 0o644)
+}
+
 func address(a netip.AddrPort) string { return "http://" + a.String() }
 
 // latencyFleet has one server of the measured service, and one host of another
--- a/node/status.go
+++ b/node/status.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"expvar"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -61,6 +62,9 @@
 func (n *Node) adminRoutes() http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc("/debug/vars", n.vars)
+	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	r.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	r.PathPrefix("/debug/pprof/").HandlerFunc(pprof.Index)
 	r.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		json.NewEncoder(w).Encode(n.Status())
