bench: dispatch compares one step, two steps and the keyed walk

Ruled out: virtual time with a model of the packages, since the real retry and once packages run in real time on simulated links; a policy that ignores failed attempts, which returned to a cut link at once and emptied the retry budget.

--- /dev/null
+++ b/cmd/bench/dispatch.go
@@ -0,0 +1,392 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/once"
+	"github.com/primrosethread/primrosethread/retry"
+)
+
+// dispatch compares three ways to run a request that is not idempotent at
+// another host: in one step, in two steps, and along the candidates of an
+// idempotency key. The real retry and once packages call simulated owners in this
+// process. Links have a fixed one-way delay. Faults come at fixed intervals at
+// one host after the other, so that every mode meets the same ones.
+func dispatch(ctx context.Context, args []string) error {
+	var c dispatchConfig
+	f := flag.NewFlagSet("dispatch", flag.ContinueOnError)
+	f.IntVar(&c.hosts, "hosts", 3, "hosts of the service")
+	f.IntVar(&c.slots, "slots", 8, "slots of a server")
+	f.DurationVar(&c.work, "work", 20*time.Millisecond, "mean of the exponential service time")
+	f.DurationVar(&c.oneWay, "oneway", 3*time.Millisecond, "one-way delay of a link")
+	f.Float64Var(&c.load, "load", 0.5, "offered load as a share of the slots")
+	f.DurationVar(&c.length, "length", 12*time.Second, "length of a run")
+	f.DurationVar(&c.timeout, "timeout", time.Second, "time that callers allow")
+	f.DurationVar(&c.every, "every", 2*time.Second, "interval of faults")
+	f.DurationVar(&c.avoid, "avoid", 100*time.Millisecond, "time for which the policy avoids a host after a failed attempt")
+	f.DurationVar(&c.freeze, "freeze", 1500*time.Millisecond, "length of a freeze")
+	f.DurationVar(&c.cut, "cut", 200*time.Millisecond, "length of a link cut")
+	f.Float64Var(&c.lose, "lose", 0.005, "share of answers lost with their link, in the scenario lost")
+	f.DurationVar(&c.hold, "hold", 50*time.Millisecond, "time that an ingress node waits for a reservation, without the round trip")
+	only := f.String("fault", "", "run only this scenario: none, freeze, cut, lost")
+	if err := f.Parse(args); err != nil {
+		return err
+	}
+	fmt.Printf("%+v\n", c)
+	fmt.Println("fault   mode  requests   done  notrun  unknown  unknown%  runs>1  attempts/req      p50      p99    p99.9")
+	for _, fault := range []string{"none", "freeze", "cut", "lost"} {
+		for _, mode := range []string{"one", "two", "keyed"} {
+			if *only != "" && *only != fault {
+				continue
+			}
+			if err := c.run(ctx, mode, fault); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+type dispatchConfig struct {
+	hosts, slots                                             int
+	work, oneWay, length, timeout, every, freeze, cut, avoid time.Duration
+	load, lose                                               float64
+	hold                                                     time.Duration
+}
+
+// run makes one run and prints its line.
+func (c *dispatchConfig) run(ctx context.Context, mode, fault string) error {
+	s := newSimulation(c, mode, fault)
+	ctx, cancel := context.WithTimeout(ctx, c.length+c.timeout+time.Second)
+	defer cancel()
+	faults := s.inject(ctx)
+
+	rate := c.load * float64(c.hosts*c.slots) / c.work.Seconds()
+	took := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	var mu sync.Mutex
+	var outcomes [3]int
+	var wg sync.WaitGroup
+	began := time.Now()
+	requests := 0
+	for at := time.Duration(0); at < c.length; at += time.Duration(rand.ExpFloat64() / rate * float64(time.Second)) {
+		if time.Sleep(time.Until(began.Add(at))); ctx.Err() != nil {
+			return ctx.Err()
+		}
+		requests++
+		r := &prim.Request{Service: "s", Class: "c", Method: "POST", Path: fmt.Sprint("/", requests), Deadline: time.Now().Add(c.timeout)}
+		if mode == "keyed" {
+			r.Key, r.KeyCreated = r.Path, time.Now()
+		}
+		wg.Go(func() {
+			started := time.Now()
+			_, err := s.caller.Do(ctx, r)
+			mu.Lock()
+			defer mu.Unlock()
+			outcomes[prim.OutcomeOf(err)]++
+			took.RecordValue(time.Since(started).Microseconds())
+		})
+	}
+	wg.Wait()
+	cancel()
+	if err := <-faults; err != nil {
+		return err
+	}
+	twice := 0
+	s.runs.Range(func(_, n any) bool {
+		if n.(*atomic.Int64).Load() > 1 {
+			twice++
+		}
+		return true
+	})
+	quantile := func(q float64) string {
+		return fmt.Sprintf("%6.1fms", float64(took.ValueAtQuantile(q))/1000)
+	}
+	fmt.Printf("%-7s %-5s %8d %6d %7d %8d %8.3f%% %7d %13.2f %8s %8s %8s\n", fault, mode, requests,
+		outcomes[prim.Done], outcomes[prim.NotRun], outcomes[prim.Unknown], 100*float64(outcomes[prim.Unknown])/float64(requests),
+		twice, float64(s.attempts.Load())/float64(requests), quantile(50), quantile(99), quantile(99.9))
+	return nil
+}
+
+// simulation is a service with simulated hosts, and the ports that show it.
+type simulation struct {
+	*dispatchConfig
+	mode, fault string
+	caller      *retry.Caller
+	view        *prim.View
+	hosts       map[prim.HostName]*simulatedHost
+	names       []prim.HostName
+	attempts    atomic.Int64
+	runs        sync.Map // path to *atomic.Int64
+}
+
+func newSimulation(c *dispatchConfig, mode, fault string) *simulation {
+	s := &simulation{dispatchConfig: c, mode: mode, fault: fault, hosts: make(map[prim.HostName]*simulatedHost)}
+	since := time.Now().Add(-24 * time.Hour)
+	var list []prim.Host
+	for i := range c.hosts {
+		name := prim.HostName(fmt.Sprint("h", i))
+		list = append(list, prim.Host{Name: name, Service: "s", State: prim.HostLive, Since: since})
+		h := &simulatedHost{s: s, name: name, slots: make(chan struct{}, c.slots), broken: make(chan struct{})}
+		h.owner = once.NewOwner(once.OwnerConfig{Host: name, Next: h, Documents: s, Started: since})
+		s.hosts[name] = h
+		s.names = append(s.names, name)
+	}
+	s.view = prim.NewView(prim.ViewConfig{
+		Digests: map[string]prim.Digest{prim.NameHosts: {Issued: time.Now()}},
+		Hosts:   prim.Hosts{Services: []prim.ServiceEntry{{Name: "s", Since: since}}, Hosts: list},
+	})
+	walker := once.NewWalker(once.WalkerConfig{
+		Host: "ingress", Documents: s, Members: s, Policy: s, Owners: s,
+		Again: func(ctx context.Context, r *prim.Request, d time.Duration) error { return s.caller.Again(ctx, r, d) },
+		Track: func(h prim.HostName) func() { return s.caller.Track(h) },
+	})
+	s.caller = retry.New(retry.Config{
+		Host: "ingress", Costs: map[prim.DataCentre]time.Duration{"": c.oneWay}, ReserveWait: c.hold,
+		Documents: s, Members: s, Policy: s, Owners: s, Keyed: walker,
+	})
+	return s
+}
+
+// inject makes faults at one host after the other until the context ends.
+func (s *simulation) inject(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		defer func() { done <- nil }()
+		if s.fault != "freeze" && s.fault != "cut" {
+			return
+		}
+		t := time.NewTicker(s.every)
+		defer t.Stop()
+		for i := 0; ; i++ {
+			select {
+			case <-t.C:
+			case <-ctx.Done():
+				return
+			}
+			h := s.hosts[s.names[i%len(s.names)]]
+			if s.fault == "freeze" {
+				h.frozen.Store(time.Now().Add(s.freeze).UnixNano())
+				continue
+			}
+			h.mu.Lock()
+			close(h.broken)
+			h.broken, h.back = make(chan struct{}), time.Now().Add(s.cut)
+			h.mu.Unlock()
+		}
+	}()
+	return done
+}
+
+func (s *simulation) View() *prim.View                  { return s.view }
+func (s *simulation) Changed() <-chan struct{}          { return nil }
+func (s *simulation) Reachable(prim.HostName) bool      { return true }
+func (s *simulation) Failed(prim.HostName)              {}
+func (s *simulation) Seen(prim.HostName, prim.Instance) {}
+func (s *simulation) Observe(prim.Sample)               {}
+func (s *simulation) Finished(prim.Attempt)             {}
+func (s *simulation) Owner(h prim.HostName) prim.Owner  { return &simulatedLink{s.hosts[h]} }
+func (s *simulation) Pick(_ prim.Service, cs []prim.Candidate) int {
+	// Least pending, ties at random.
+	best, ties, least := 0, 0, 0
+	for i, c := range cs {
+		pending := c.Pending
+		if time.Now().UnixNano() < s.hosts[c.Host.Name].avoided.Load() {
+			pending += 1 << 20
+		}
+		if ties == 0 || pending < least {
+			best, ties, least = i, 1, pending
+		} else if pending == least {
+			if ties++; rand.IntN(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	return best
+}
+
+// simulatedHost is a server behind its admission: a request gets a slot, waits
+// for one in a queue of two per slot, or is refused.
+type simulatedHost struct {
+	s      *simulation
+	name   prim.HostName
+	owner  prim.Owner
+	slots  chan struct{}
+	queued atomic.Int64
+	// Both are times in Unix nanoseconds.
+	frozen, avoided atomic.Int64
+
+	mu     sync.Mutex
+	broken chan struct{} // closed when the link breaks
+	back   time.Time     // when the link is up again
+}
+
+func (h *simulatedHost) Sample() prim.Sample { return prim.Sample{} }
+
+func (h *simulatedHost) refuse(reason prim.Reason) error {
+	return &prim.Refusal{Reason: reason, Host: h.name}
+}
+
+func (h *simulatedHost) admit(ctx context.Context) error {
+	if h.queued.Add(1) > int64(2*h.s.slots) {
+		h.queued.Add(-1)
+		return h.refuse(prim.ReasonBusy)
+	}
+	defer h.queued.Add(-1)
+	select {
+	case h.slots <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return h.refuse(prim.ReasonExpired)
+	}
+}
+
+func (h *simulatedHost) serve(r *prim.Request) (*prim.Answer, error) {
+	defer func() { <-h.slots }()
+	h.thaw()
+	if !time.Now().Before(r.Deadline) {
+		return nil, h.refuse(prim.ReasonExpired)
+	}
+	n, _ := h.s.runs.LoadOrStore(r.Path, new(atomic.Int64))
+	n.(*atomic.Int64).Add(1)
+	time.Sleep(time.Duration(rand.ExpFloat64() * float64(h.s.work)))
+	return &prim.Answer{Status: 200, Body: []byte(r.Path)}, nil
+}
+
+// thaw waits while the process is frozen.
+func (h *simulatedHost) thaw() { time.Sleep(time.Until(time.Unix(0, h.frozen.Load()))) }
+
+func (h *simulatedHost) Dispatch(ctx context.Context, r *prim.Request) (*prim.Answer, error) {
+	if err := h.admit(ctx); err != nil {
+		return nil, err
+	}
+	return h.serve(r)
+}
+
+func (h *simulatedHost) Reserve(ctx context.Context, r *prim.Request) (prim.Reservation, error) {
+	if err := h.admit(ctx); err != nil {
+		return nil, err
+	}
+	v := &simulatedReservation{h: h, r: r}
+	v.expiry = time.AfterFunc(50*time.Millisecond, v.Release)
+	return v, nil
+}
+
+type simulatedReservation struct {
+	h      *simulatedHost
+	r      *prim.Request
+	expiry *time.Timer
+	used   atomic.Bool
+}
+
+func (v *simulatedReservation) Commit(context.Context) (*prim.Answer, error) {
+	if v.used.Swap(true) {
+		return nil, v.h.refuse(prim.ReasonReservation)
+	}
+	v.expiry.Stop()
+	return v.h.serve(v.r)
+}
+
+func (v *simulatedReservation) Release() {
+	if !v.used.Swap(true) {
+		v.expiry.Stop()
+		<-v.h.slots
+	}
+}
+
+// simulatedLink reaches a host with delay and faults.
+type simulatedLink struct{ h *simulatedHost }
+
+func (l *simulatedLink) Sample() prim.Sample { return prim.Sample{} }
+
+// exchange sends a frame, has the owner work on it, and returns its answer.
+func exchange[T any](ctx context.Context, h *simulatedHost, work func(context.Context) (T, error)) (T, error) {
+	var none T
+	h.mu.Lock()
+	broken, down := h.broken, time.Now().Before(h.back)
+	h.mu.Unlock()
+	if down {
+		return none, h.refuse(prim.ReasonUnreachable)
+	}
+	type end struct {
+		value T
+		err   error
+	}
+	ends := make(chan end, 1)
+	go func() {
+		time.Sleep(h.s.oneWay)
+		select {
+		case <-broken:
+			return
+		default:
+		}
+		h.thaw()
+		v, err := work(ctx)
+		h.thaw()
+		time.Sleep(h.s.oneWay)
+		if h.s.fault == "lost" && rand.Float64() < h.s.lose {
+			err = &prim.Lost{Host: h.name, Cause: io.EOF}
+		}
+		ends <- end{v, err}
+	}()
+	select {
+	case e := <-ends:
+		return e.value, e.err
+	case <-broken:
+		return none, &prim.Lost{Host: h.name, Cause: io.EOF}
+	case <-ctx.Done():
+		return none, &prim.Lost{Host: h.name, Cause: ctx.Err()}
+	}
+}
+
+func (l *simulatedLink) Dispatch(ctx context.Context, r *prim.Request) (*prim.Answer, error) {
+	l.h.s.attempts.Add(1)
+	return exchange(ctx, l.h, func(ctx context.Context) (*prim.Answer, error) { return l.h.owner.Dispatch(ctx, r) })
+}
+
+func (l *simulatedLink) Reserve(ctx context.Context, r *prim.Request) (prim.Reservation, error) {
+	if l.h.s.mode == "one" {
+		return &oneStep{l, r}, nil
+	}
+	l.h.s.attempts.Add(1)
+	v, err := exchange(ctx, l.h, func(ctx context.Context) (prim.Reservation, error) { return l.h.owner.Reserve(ctx, r) })
+	if err != nil {
+		return nil, err
+	}
+	return &remoteReservation{l.h, v}, nil
+}
+
+// oneStep turns the two steps of package retry into one.
+type oneStep struct {
+	l *simulatedLink
+	r *prim.Request
+}
+
+func (o *oneStep) Commit(ctx context.Context) (*prim.Answer, error) { return o.l.Dispatch(ctx, o.r) }
+func (o *oneStep) Release()                                         {}
+
+type remoteReservation struct {
+	h *simulatedHost
+	v prim.Reservation
+}
+
+func (v *remoteReservation) Commit(ctx context.Context) (*prim.Answer, error) {
+	a, err := exchange(ctx, v.h, v.v.Commit)
+	var refusal *prim.Refusal
+	if errors.As(err, &refusal) && refusal.Reason == prim.ReasonUnreachable {
+		v.v.Release() // as the owner does when the link breaks
+	}
+	return a, err
+}
+
+func (v *remoteReservation) Release() { v.v.Release() }
