--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -13,7 +13,8 @@
 
 // commands are the measurements by name. Each parses its own flags.
 var commands = map[string]func(ctx context.Context, args []string) error{
-	"latency": runLatency,
+	"dispatch": dispatch,
+	"latency":  runLatency,
 }
 
 func main() {
--- a/retry/call.go
+++ b/retry/call.go
@@ -19,6 +19,7 @@
 	rounds  int             // rounds in which every host refused
 	refusal *prim.Refusal   // the last one
 	lost    error           // the first end that was Unknown
+	reached bool            // the last attempt may have reached a server
 }
 
 // doOnce runs a request that is not idempotent: one attempt at a time, and
@@ -193,7 +194,8 @@
 		return false
 	}
 	k.tried = append(k.tried, h)
-	if prim.OutcomeOf(err) == prim.Unknown {
+	k.reached = prim.OutcomeOf(err) == prim.Unknown
+	if k.reached {
 		k.lose(err)
 		return k.request.Idempotent
 	}
@@ -215,6 +217,9 @@
 		delay = k.backoff()
 		k.tried = k.tried[:0]
 	}
+	if k.reached {
+		return k.caller.afterLost(waiting, k.request, delay)
+	}
 	return k.caller.Again(waiting, k.request, delay)
 }
 
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -37,13 +37,17 @@
 	// Recorder counts retries and hedges; nil counts nothing.
 	Recorder prim.Recorder
 
-	// RetryShare is the share of first attempts that may be repeated: 0.2.
+	// RetryShare is the share of first attempts that may be repeated after an
+	// attempt that may have reached a server: 0.2.
 	RetryShare float64
 	// RetryFloor is the number of retries a second that every service may
 	// make regardless of its first attempts: 1.
 	RetryFloor float64
 	// RetryBurst is how much of the floor an idle service saves up: 10.
 	RetryBurst float64
+	// RefusalShare, RefusalFloor and RefusalBurst are the same for attempts
+	// that follow a refusal, which load no server: 1, 20 a second and 50.
+	RefusalShare, RefusalFloor, RefusalBurst float64
 	// HedgeShare is the share of first attempts that may be hedged: 0.05.
 	HedgeShare float64
 	// HedgeQuantile is the quantile of a class's latencies after which an
@@ -71,6 +75,9 @@
 	setDefault(&c.RetryShare, 0.2)
 	setDefault(&c.RetryFloor, 1)
 	setDefault(&c.RetryBurst, 10)
+	setDefault(&c.RefusalShare, 1)
+	setDefault(&c.RefusalFloor, 20)
+	setDefault(&c.RefusalBurst, 50)
 	setDefault(&c.HedgeShare, 0.05)
 	setDefault(&c.HedgeQuantile, 0.95)
 	setDefault(&c.HedgeUnknown, 500*time.Millisecond)
@@ -139,11 +146,23 @@
 	return k.doOnce(ctx, waiting)
 }
 
-// Again waits until the retry budget of the request's service permits another
-// attempt, at least for the delay. It returns the context's error when that
-// ends first. Package once pays for the steps of its walk with it.
+// Again waits until the budget for attempts after a refusal permits another
+// attempt of the request, at least for the delay. It returns the context's
+// error when that ends first. Package once pays for the steps of its walk with
+// it: a step runs nothing that an earlier one has run.
 func (c *Caller) Again(ctx context.Context, r *prim.Request, delay time.Duration) error {
-	if err := c.service(r.Service).wait(ctx, r.Deadline, delay); err != nil {
+	s := c.service(r.Service)
+	if err := s.wait(ctx, &s.refused, r.Deadline, delay); err != nil {
+		return err
+	}
+	c.count("RetriesRefused")
+	return nil
+}
+
+// afterLost is Again for a request whose last attempt may have run.
+func (c *Caller) afterLost(ctx context.Context, r *prim.Request, delay time.Duration) error {
+	s := c.service(r.Service)
+	if err := s.wait(ctx, &s.lost, r.Deadline, delay); err != nil {
 		return err
 	}
 	c.count("Retries")
--- a/retry/service.go
+++ b/retry/service.go
@@ -15,24 +15,40 @@
 	config *Config
 
 	mu      sync.Mutex
-	retries *budget
+	lost    lane // requests whose last attempt may have reached a server
+	refused lane // requests whose last attempt did not
 	hedges  *budget
-	queue   *queue
-	timer   *time.Timer // calls release; nil while nobody waits
 	classes map[prim.Class]*latencies
 }
 
+// lane is a retry budget with the requests that wait for it. Attempts that
+// follow a lost one load a server again; those that follow a refusal load only
+// the owner node, so they have a larger budget of their own. With one budget
+// for both, a few owners that refuse for a moment leave no retries, and
+// requests run into their deadline while servers are idle.
+type lane struct {
+	budget *budget
+	queue  *queue
+	timer  *time.Timer // calls release; nil while nobody waits
+}
+
 func (c *Caller) service(name prim.Service) *service {
 	if v, ok := c.services.Load(name); ok {
 		return v.(*service)
 	}
 	v, _ := c.services.LoadOrStore(name, &service{
 		config:  &c.config,
-		retries: newBudget(c.config.RetryShare, c.config.RetryFloor, c.config.RetryBurst),
+		lost: lane{
+			budget: newBudget(c.config.RetryShare, c.config.RetryFloor, c.config.RetryBurst),
+			queue:  newQueue(c.config.Queue),
+		},
+		refused: lane{
+			budget: newBudget(c.config.RefusalShare, c.config.RefusalFloor, c.config.RefusalBurst),
+			queue:  newQueue(c.config.Queue),
+		},
 		// Hedges have no floor: an attempt that is late without a hedge is
 		// replaced under the retry budget in the end.
 		hedges:  newBudget(c.config.HedgeShare, 0, 1),
-		queue:   newQueue(c.config.Queue),
 		classes: make(map[prim.Class]*latencies),
 	})
 	return v.(*service)
@@ -43,10 +59,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.retries.first(now)
 	s.hedges.first(now)
-	if s.timer != nil {
-		s.release(now)
+	for _, l := range []*lane{&s.lost, &s.refused} {
+		l.budget.first(now)
+		if l.timer != nil {
+			s.release(l, now)
+		}
 	}
 }
 
@@ -60,20 +78,20 @@
 func (s *service) takeRetry() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.queue.ready.all) == 0 && s.retries.take(time.Now())
+	return len(s.lost.queue.ready.all) == 0 && s.lost.budget.take(time.Now())
 }
 
 // wait returns nil when the request may make another attempt, not before the
 // delay has passed, or the error of the context.
-func (s *service) wait(ctx context.Context, deadline time.Time, delay time.Duration) error {
+func (s *service) wait(ctx context.Context, l *lane, deadline time.Time, delay time.Duration) error {
 	w := &waiter{deadline: deadline, released: make(chan struct{})}
 	for {
 		s.mu.Lock()
 		now := time.Now()
 		w.after = now.Add(delay)
-		queued := s.queue.push(w)
+		queued := l.queue.push(w)
 		if queued {
-			s.release(now)
+			s.release(l, now)
 		}
 		s.mu.Unlock()
 		if queued {
@@ -92,28 +110,28 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.queue.remove(w) {
-		s.retries.giveBack()
-		s.release(time.Now())
+	if !l.queue.remove(w) {
+		l.budget.giveBack()
+		s.release(l, time.Now())
 	}
 	return ctx.Err()
 }
 
 // release lets waiting requests go and sets the timer for the next ones. The
 // caller holds s.mu.
-func (s *service) release(now time.Time) {
-	if s.timer != nil {
-		s.timer.Stop()
-		s.timer = nil
+func (s *service) release(l *lane, now time.Time) {
+	if l.timer != nil {
+		l.timer.Stop()
+		l.timer = nil
 	}
-	next, waiting := s.queue.release(now, s.retries)
+	next, waiting := l.queue.release(now, l.budget)
 	if !waiting {
 		return
 	}
-	s.timer = time.AfterFunc(next, func() {
+	l.timer = time.AfterFunc(next, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.release(time.Now())
+		s.release(l, time.Now())
 	})
 }
 
