bench: cost of control against the size of the fleet

Cause: docs/CAPACITY.md needs slopes of processor time, memory and bytes. Ruled out: nodes in one process, which would share a heap and a scheduler. Change: bench capacity runs idle fleets of several sizes as processes.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -13,6 +13,7 @@
 
 // commands are the measurements by name. Each parses its own flags.
 var commands = map[string]func(ctx context.Context, args []string) error{
+	"capacity": runCapacity,
 	"dispatch": dispatch,
 	"latency":  runLatency,
 }
--- a/retry/service.go
+++ b/retry/service.go
@@ -37,7 +37,7 @@
 		return v.(*service)
 	}
 	v, _ := c.services.LoadOrStore(name, &service{
-		config:  &c.config,
+		config: &c.config,
 		lost: lane{
 			budget: newBudget(c.config.RetryShare, c.config.RetryFloor, c.config.RetryBurst),
 			queue:  newQueue(c.config.Queue),
