gossip: ask seeds only when no peer is heard

Change: a node with a host list asks a seed only while it hears nobody. Conclusion: seeds see load only from nodes that start or are cut off.

--- a/gossip/config.go
+++ b/gossip/config.go
@@ -30,8 +30,8 @@
 	// Self and DataCentre are this node's host and data centre.
 	Self       prim.HostName
 	DataCentre prim.DataCentre
-	// Seeds are asked for documents while the host list is unknown and while few
-	// peers are heard. The transport must reach them without the host list.
+	// Seeds are asked for documents while the host list is unknown and while no
+	// peer is heard. The transport must reach them without the host list.
 	Seeds []prim.HostName
 	// Parse checks the body of d and returns the documents in current with d put
 	// in place of its predecessor. It must not change current, and Digests of
--- a/gossip/core.go
+++ b/gossip/core.go
@@ -138,8 +138,9 @@
 }
 
 // push tells some peers everything that this node holds. A node that knows no
-// hosts, or hears few of them, also tells a seed, whose answer names what is
-// newer there.
+// hosts, or hears none, also tells a seed, whose answer names what is newer
+// there. A node that hears few does not: in a partition they are many, and the
+// seeds are few.
 func (c *Core) push(now time.Time) []Action {
 	if c.fresher {
 		c.publish(c.view)
@@ -151,7 +152,7 @@
 	}
 	to := c.peers.choose(c.config.Fanout, c.config.Rand)
 	isolated := c.isolated(now)
-	if n := len(c.config.Seeds); n > 0 && (c.hosts == 0 || isolated) {
+	if n := len(c.config.Seeds); n > 0 && (c.hosts == 0 || isolated && len(c.heard) == 0) {
 		to = c.add(to, c.config.Seeds[c.config.Rand.IntN(n)])
 	}
 	if hs := c.view.Hosts.Hosts; isolated && len(hs) > 0 {
