bench: show the age of Issued in spread

Cause: digests carry Issued so that freshness spreads without new versions, and only the property test on small fleets showed it. Ruled out: a separate measurement, since the same runs show it. Change: the platform of the measurement serves the current time as Issued, and the result has the oldest Issued of all nodes at the end of the run.

--- a/cmd/bench/spread.go
+++ b/cmd/bench/spread.go
@@ -315,12 +315,21 @@
 	if f.stale && f.r.IntN(2) == 0 {
 		docs = f.previous
 	}
+	read, ds := docs[a.Name], digests(docs)
+	if docs[a.Name].Version == f.current[a.Name].Version {
+		read.Issued = f.now
+	}
+	for i := range ds {
+		if ds[i].Version == f.current[ds[i].Name].Version {
+			ds[i].Issued = f.now
+		}
+	}
 	if a.Kind == gossip.ReadDocument {
-		size += len(docs[a.Name].Body)
+		size += len(read.Body)
 	}
 	wait, err := 2*time.Millisecond+time.Duration(size/bytesPerSlice)*time.Millisecond, error(nil)
 	if f.down || st.cut || f.r.Float64() < f.loss {
-		wait, err, docs = callTimeout, context.DeadlineExceeded, nil
+		wait, err, read, ds = callTimeout, context.DeadlineExceeded, prim.Document{}, nil
 	}
 	f.after(wait, func() {
 		if st.dead {
@@ -328,14 +337,10 @@
 		}
 		if a.Kind == gossip.ReadDocument {
 			f.count(st, size)
-			f.done(st, st.Read(f.now, a, docs[a.Name], err))
+			f.done(st, st.Read(f.now, a, read, err))
 			return
 		}
 		f.count(st, size)
-		var ds []prim.Digest
-		if err == nil {
-			ds = digests(docs)
-		}
 		f.done(st, st.Index(f.now, ds, err))
 	})
 }
@@ -396,6 +401,7 @@
 	missing         int           // nodes without the last version at the end
 	reads, peak     float64       // platform reads a second
 	mean, high      float64       // bytes a second of a node, sent and received
+	age             time.Duration // of the oldest Issued at the end, leaderless only
 	processed, took time.Duration
 }
 
@@ -443,6 +449,9 @@
 				r.last = max(r.last, at.Sub(p))
 			}
 		}
+		if l, ok := st.spreader.(leaderless); ok {
+			r.age = max(r.age, f.now.Sub(l.View().Digests[prim.NamePlans].Issued))
+		}
 		b := float64(st.bytes) / r.processed.Seconds()
 		r.mean += b
 		r.high = max(r.high, b)
@@ -471,7 +480,7 @@
 	if err := fs.Parse(args); err != nil {
 		return err
 	}
-	fmt.Println("mode    nodes  loss fault        body | last s  heal s missing | reads/s  peak | B/s mean    max | took s")
+	fmt.Println("mode    nodes  loss fault        body | last s  heal s missing | reads/s  peak | B/s mean    max | age s | took s")
 	for _, size := range strings.Split(*sizes, ",") {
 		for _, loss := range strings.Split(*losses, ",") {
 			for _, fault := range strings.Split(*kinds, ",") {
@@ -492,9 +501,9 @@
 						if err != nil {
 							return err
 						}
-						fmt.Printf("%-7s %5d  %4.2f %-9s %7d | %6.2f  %6.2f %7d | %7.1f %5.0f | %8.0f %6.0f | %6.1f\n",
+						fmt.Printf("%-7s %5d  %4.2f %-9s %7d | %6.2f  %6.2f %7d | %7.1f %5.0f | %8.0f %6.0f | %5.1f | %6.1f\n",
 							mode, s.nodes, s.loss, fault, s.body, r.last.Seconds(), r.healed.Seconds(), r.missing,
-							r.reads, r.peak, r.mean, r.high, r.took.Seconds())
+							r.reads, r.peak, r.mean, r.high, r.age.Seconds(), r.took.Seconds())
 					}
 				}
 			}
