--- a/gossip/core.go
+++ b/gossip/core.go
@@ -87,8 +87,11 @@
 		nextPush: now,
 		nextRead: now.Add(time.Duration(float64(firstRead(config)) * config.Rand.Float64())),
 	}
+	shared := newBudget(config.BodyRate/2, config.BodyBurst/2)
 	for _, n := range prim.DocumentNames {
-		c.docs[n] = &held{budget: newBudget(config.BodyRate/float64(len(prim.DocumentNames)), config.BodyBurst)}
+		part := 2 * len(prim.DocumentNames)
+		own := newBudget(config.BodyRate/float64(part), config.BodyBurst/part)
+		c.docs[n] = &held{budget: budgets{own, shared}}
 	}
 	return c, nil
 }
@@ -135,8 +138,9 @@
 }
 
 // push tells some peers everything that this node holds. A node that knows no
-// hosts, or hears few of them, also tells a seed, whose answer names what is
-// newer there.
+// hosts, or hears none, also tells a seed, whose answer names what is newer
+// there. A node that hears few does not: in a partition they are many, and the
+// seeds are few.
 func (c *Core) push(now time.Time) []Action {
 	if c.fresher {
 		c.publish(c.view)
@@ -148,7 +152,7 @@
 	}
 	to := c.peers.choose(c.config.Fanout, c.config.Rand)
 	isolated := c.isolated(now)
-	if n := len(c.config.Seeds); n > 0 && (c.hosts == 0 || isolated) {
+	if n := len(c.config.Seeds); n > 0 && (c.hosts == 0 || isolated && len(c.heard) == 0) {
 		to = c.add(to, c.config.Seeds[c.config.Rand.IntN(n)])
 	}
 	if hs := c.view.Hosts.Hosts; isolated && len(hs) > 0 {
@@ -186,15 +190,17 @@
 // gap returns the time until the next read of the index.
 func (c *Core) gap(now time.Time) time.Duration {
 	mean := meanGap(c.hosts, 1+c.bodies, c.config.FleetReads)
-	switch {
-	case c.hosts == 0:
+	if c.hosts == 0 {
 		// The fleet may be large, so the reads thin out until the list is known.
 		mean = min(maxUnknownGap, mean<<min(c.reads, 10))
 		c.reads++
-	case c.isolated(now):
-		mean = min(mean, isolatedGap)
+		return spread(mean, c.config.Rand)
 	}
-	return spread(mean, c.config.Rand)
+	gap := regularGap(mean, c.config.Rand)
+	if c.isolated(now) {
+		return min(gap, spread(isolatedGap, c.config.Rand))
+	}
+	return gap
 }
 
 func (c *Core) held() []prim.Digest {
