--- a/share/owner.go
+++ b/share/owner.go
@@ -80,7 +80,6 @@
 	own     slot
 	service prim.Service
 	held    map[slot]time.Duration // usable from this time on
-	gone    map[slot]bool          // handed over, never used again here
 
 	window *window
 	usable []int         // indices of held slots in window
@@ -98,7 +97,6 @@
 	return &lender{
 		terms: c.Terms, self: c.Self, instance: c.Instance, start: start, config: c,
 		held:  make(map[slot]time.Duration),
-		gone:  make(map[slot]bool),
 		pools: make(map[prim.Customer]*pool),
 	}
 }
@@ -415,7 +413,7 @@
 	for _, id := range h.Slots {
 		_, known := l.held[id]
 		_, listed := slices.BinarySearchFunc(l.window.slots, id, compareSlots)
-		if !known && listed && !l.gone[id] {
+		if !known && listed {
 			// Leases of the giver may be outstanding for one term.
 			l.held[id] = now.mono + l.terms.outstanding()
 			l.recalc = 0
@@ -424,12 +422,10 @@
 	return accepted{Accepted: true, Instance: l.instance}
 }
 
-// surrender gives up all slots for good and returns them.
+// surrender gives up all slots and returns them. They never come back: this
+// instance binds once, and it accepts nothing any more since it is leaving.
 func (l *lender) surrender() []slot {
 	ids := slices.SortedFunc(maps.Keys(l.held), compareSlots)
-	for _, id := range ids {
-		l.gone[id] = true
-	}
 	clear(l.held)
 	l.recalc = 0
 	return ids
--- a/share/share.go
+++ b/share/share.go
@@ -202,8 +202,11 @@
 
 // planAll plans, and settles the asks of this node to itself at once.
 func planAll(now instant, v *prim.View, l *lender, b *borrower) []batch {
-	due := b.plan(now, v)
+	// The pools of this node fill from the time at which it notices that a slot
+	// became usable, so it looks at every tick and not only when it is asked.
+	l.refresh(now, v)
 	l.sweep(now, v)
+	due := b.plan(now, v)
 	return slices.DeleteFunc(due, func(d batch) bool {
 		if d.to != l.self {
 			return false
--- /dev/null
+++ b/share/thin_test.go
@@ -0,0 +1,127 @@
+package share
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	prim "github.com/primrosethread/primrosethread"
+)
+
+// mesh connects Shares in one process. It implements Transport and Documents
+// for each of them.
+type mesh struct {
+	mu       *sync.Mutex
+	handlers map[prim.HostName]map[prim.Kind]prim.Handler
+	view     **prim.View
+	self     prim.HostName
+	trip     time.Duration
+}
+
+func (m mesh) Handle(k prim.Kind, h prim.Handler) {
+	if m.handlers[m.self] == nil {
+		m.handlers[m.self] = make(map[prim.Kind]prim.Handler)
+	}
+	m.handlers[m.self][k] = h
+}
+
+func (m mesh) Ask(ctx context.Context, to prim.HostName, x prim.Message) (prim.Message, error) {
+	h := m.handlers[to][x.Kind]
+	select {
+	case <-time.After(m.trip):
+	case <-ctx.Done():
+		h = nil
+	}
+	if h == nil {
+		return prim.Message{}, errors.New("unreachable")
+	}
+	return h(ctx, m.self, x)
+}
+
+func (m mesh) Tell(context.Context, prim.HostName, prim.Message) error { return nil }
+
+func (m mesh) View() *prim.View {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return *m.view
+}
+
+func (m mesh) Changed() <-chan struct{} { return nil }
+
+// Guards against a first call that is refused although its customer has an
+// allowance, one that waits longer than one round trip, later calls that wait,
+// and a stop that loses a slot or leaves a goroutine behind.
+func TestShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		old := epoch
+		defer func() { epoch = old }()
+		w := newWorld(1, 2, part{10, 10})
+		start := w.now
+		now := func() time.Duration { return start + time.Since(time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)) }
+		epoch = time.Now().Add(-start) // synctest has its own time
+		view := w.viewAt(start+time.Hour, start+time.Hour)
+		m := mesh{mu: new(sync.Mutex), handlers: make(map[prim.HostName]map[prim.Kind]prim.Handler), view: &view, trip: 10 * time.Millisecond}
+		ctx, cancel := context.WithCancel(t.Context())
+		var shares []*Share
+		var ends []<-chan error
+		for i := range 3 { // the last one owns no slot
+			c := Config{Self: "ingress", DataCentre: "d", Instance: prim.Instance(i + 1), Terms: testTerms}
+			c.Address = w.entries[0].address
+			if i < 2 {
+				c.Self, c.Address = w.entries[i].name, w.entries[i].address
+			}
+			m.self = c.Self
+			c.Transport, c.Documents = m, m
+			s, err := New(c)
+			is.NoErr(err)
+			shares, ends = append(shares, s), append(ends, s.Run(ctx))
+		}
+		time.Sleep(3 * time.Second)
+		began := time.Now()
+		is.NoErr(shares[2].Take(ctx, "c", "s"))
+		is.Equal(time.Since(began), m.trip)
+		synctest.Wait() // the other owners answer at the same instant
+		began = time.Now()
+		granted := 1
+		for ; shares[2].Take(ctx, "c", "s") == nil; granted++ {
+		}
+		var over *prim.OverAllowance
+		is.True(errors.As(shares[2].Take(ctx, "c", "s"), &over))
+		is.True(over.RetryAfter > 0)
+		is.Equal(time.Since(began), time.Duration(0))
+		is.True(granted <= 10)
+		st := shares[2].Status()
+		is.Equal(len(st), 1)
+		is.Equal(st[0].Used, uint64(granted))
+		is.True(st[0].Refused == 2 && st[0].LeasedRate > 0 && st[0].Owners > 0)
+
+		w.entries[0].leaving = now() + time.Second
+		m.mu.Lock()
+		view = w.viewAt(start+time.Hour, start+time.Hour)
+		m.mu.Unlock()
+		time.Sleep(time.Second)
+		is.NoErr(shares[0].HandOver(ctx))
+		time.Sleep(3 * time.Second)
+		is.Equal(shares[0].Usage().Held, 0)
+		is.Equal(shares[1].Usage().Usable, 2)
+
+		// Without reachable owners a new customer waits once, for Wait.
+		delete(m.handlers, "h0")
+		delete(m.handlers, "h1")
+		time.Sleep(10 * time.Second)
+		began = time.Now()
+		is.True(shares[2].Take(ctx, "c", "s") != nil)
+		is.True(time.Since(began) <= 200*time.Millisecond)
+		is.True(shares[2].Take(ctx, "nobody", "s") != nil)
+		cancel()
+		for _, end := range ends {
+			is.NoErr(<-end)
+		}
+	})
+}
