admit: bounds on latency that follow the server's own variation

A server with lognormal service times (sigma 0.5) had a mean limit of 72% of its slots at 70% load, and servers whose speed shifts every 2 to 20 ms were at the cold cap most of the time. A single very late answer could also cut the limit. Ruled out: a longer window for the jump alone, because requests in one slow phase are late together; a fixed higher threshold, because it would hide a tenfold slowdown of a regular server. Change: the usual latency falls fast only after a run of fast requests; the bounds for growth, decrease and jump widen with the ratio that one of twenty requests exceeds, within limits and not while the server is at the cold cap; each decrease needs requests admitted after the last one; one request counts at most as five times the usual latency. TestNoiseKeepsLimit fails when the wider bound of a decrease, the wider bound of a jump or the run of fast requests is switched off; TestJumpInServiceTime fails when bounds widen at the cold cap.

--- a/admit/limit.go
+++ b/admit/limit.go
@@ -21,8 +21,8 @@
 
 const (
 	// goodRatio and badRatio bound the smoothed ratio of latency to the usual
-	// one. The usual latency is a low estimate, so ordinary noise has a ratio
-	// around 1.2; between the two bounds the limit stays.
+	// one; between the two the limit stays. Ordinary servers have a mean ratio
+	// of about 1.2.
 	goodRatio = 1.8
 	badRatio  = 2.5
 	// ratioWeight is the weight of one request in the smoothed ratio.
@@ -32,10 +32,22 @@
 	failCut = 0.5
 	// jumpRatio is the ratio that counts as a jump in service time when
 	// jumpCount of the last jumpWindow requests exceed it. A single slow
-	// request is ordinary; four of five are not.
+	// request is ordinary.
 	jumpRatio  = 4.0
 	jumpWindow = 5
 	jumpCount  = 4
+	// A server whose speed shifts by itself gets wider bounds: these multiples
+	// of its high ratio, which only one of twenty requests exceeds. Without
+	// them such a server would be at the cold cap most of the time.
+	goodHigh = 0.5
+	badHigh  = 0.8
+	jumpHigh = 1.5
+	// The high ratio has bounds, so that a tenfold slowdown is a jump at any
+	// server. It moves by highStep if exceeded and down by a nineteenth of that
+	// if not.
+	minHigh  = 2.0
+	maxHigh  = 5.0
+	highStep = 0.02
 	// failingWeight is the weight of one request in the share of failures;
 	// above failingCold the server counts as cold.
 	failingWeight = 0.2
@@ -48,10 +60,13 @@
 	minHold   = 10 * time.Millisecond
 	maxHold   = time.Second
 	// usualStep is the largest relative change of the usual latency by one
-	// request. At 600 requests a second it doubles within about 1.2 s, so a
-	// permanent change of a server is accepted, but only after the limit has
-	// reacted to it.
+	// request. At 600 requests a second it
+	// doubles within about 1.2 s, so a permanent change of a server is accepted,
+	// but only after the limit has reacted to it.
 	usualStep = 0.001
+	// After usualFast requests in a row below half the usual latency it falls
+	// faster, since the server was cold when it was learned.
+	usualFast = 8
 	// maxClasses bounds the classes with a latency of their own.
 	maxClasses = 64
 	// maxRatio keeps one very late answer from cutting the limit: it moves the
@@ -64,6 +79,7 @@
 type usual struct {
 	value float64 // seconds
 	n     int
+	fast  int // requests in a row below half the value
 }
 
 func (u *usual) add(l float64) {
@@ -72,11 +88,14 @@
 		u.value = l
 		return
 	}
+	u.fast++
+	if l >= u.value/2 {
+		u.fast = 0
+	}
 	step := max(usualStep, 0.5/float64(u.n))
 	switch {
-	case l < u.value/2:
-		// The server was cold when the value was set.
-		u.value *= 0.95
+	case u.fast >= usualFast:
+		u.value *= 0.9
 	case l < u.value:
 		u.value *= 1 - step
 	default:
@@ -100,6 +119,7 @@
 	cutAt     uint64 // work up to this number neither raises nor cuts the limit
 	coldAt    uint64 // work up to this number says nothing at all
 	ratio     float64
+	high      float64             // ratio that one of twenty requests exceeds
 	ratios    [jumpWindow]float64 // 0 where empty
 	next      int
 	classes   map[prim.Class]*usual
@@ -119,7 +139,7 @@
 }
 
 func newLimiter(c Config) limiter {
-	return limiter{c: c, published: c.Published, value: float64(c.ColdCap), ratio: 1, classes: make(map[prim.Class]*usual)}
+	return limiter{c: c, published: c.Published, value: float64(c.ColdCap), ratio: 1, high: minHigh, classes: make(map[prim.Class]*usual)}
 }
 
 // limit returns the number of requests that may be at the server.
@@ -147,6 +167,9 @@
 func (l *limiter) cut(factor float64) {
 	l.value = max(float64(l.c.ColdCap), min(l.value, float64(l.published))*factor)
 	l.cutAt = l.admitted
+	// The next decrease needs evidence of its own: requests admitted after this
+	// one still share the slow phase that caused it.
+	l.ratio = min(l.ratio, goodRatio)
 }
 
 // class returns the usual latency of a class. Beyond maxClasses, the remaining
@@ -214,34 +237,46 @@
 	u := l.class(c)
 	ratio := 1.0
 	if u.n > 0 && u.value > 0 {
-		ratio = min(maxRatio, latency.Seconds()/u.value)
+		ratio = latency.Seconds() / u.value
 	}
 	u.add(latency.Seconds())
-	l.ratio += (ratio - l.ratio) * ratioWeight
+	jumps := 0
 	l.ratios[l.next] = ratio
 	l.next = (l.next + 1) % len(l.ratios)
-	jumps := 0
 	for _, r := range l.ratios {
-		if r > jumpRatio {
+		if r > l.jump() {
 			jumps++
 		}
 	}
+	good, bad := max(goodRatio, goodHigh*l.high), max(badRatio, badHigh*l.high)
+	switch {
+	case l.value < float64(l.c.ColdCap)+1:
+		// A slow or cold server must not widen its own bounds.
+	case ratio > l.high:
+		l.high = min(maxHigh, l.high*(1+highStep))
+	default:
+		l.high = max(minHigh, l.high*(1-highStep/19))
+	}
+	l.ratio += (min(maxRatio, ratio) - l.ratio) * ratioWeight
 	switch {
 	case jumps >= jumpCount && l.value > float64(l.c.ColdCap):
 		return "jump in service time"
 	case w.number <= l.cutAt:
-	case l.ratio > badRatio:
+	case l.ratio > bad:
 		l.cut(slowCut)
-	case ratio < goodRatio && l.ratio < goodRatio && w.full && l.value < float64(l.published):
+	case ratio < good && l.ratio < good && w.full && l.value < float64(l.published):
 		l.value += 1 / l.value
 	}
 	return ""
 }
 
+// jump returns the ratio above which a request counts as a jump.
+func (l *limiter) jump() float64 { return max(jumpRatio, jumpHigh*l.high) }
+
 // late reports whether a running request has exceeded the jump in service time.
 func (l *limiter) late(now time.Time, w work, c prim.Class) bool {
 	u := l.classes[c]
-	return w.number > l.coldAt && u != nil && u.n >= jumpWindow && now.Sub(w.at).Seconds() > jumpRatio*u.value
+	return w.number > l.coldAt && u != nil && u.n >= jumpWindow && now.Sub(w.at).Seconds() > l.jump()*u.value
 }
 
 // latency estimates the time that a request takes with n requests in flight:
