--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -16,6 +16,7 @@
 	"capacity": runCapacity,
 	"dispatch": dispatch,
 	"latency":  runLatency,
+	"policy":   policy,
 	"spread":   spread,
 }
 
