config: a node's published address may differ from its listen address

A node uses its allowance slot only while the host list shows its own address. It compared with -listen, so a node on 0.0.0.0, which the configuration page allows, or behind an address translation never used its slot and refused every call over its leases with 429.

The setting -published-address names the address in the host list. It defaults to -listen; an unspecified -listen without it is refused at start. The settings in the tests listen on 0.0.0.0 and now give the address too.

--- a/config/node.go
+++ b/config/node.go
@@ -20,6 +20,8 @@
 	DataCentre prim.DataCentre
 	// Listen is where callers and peers connect.
 	Listen netip.AddrPort
+	// PublishedAddress is where others reach Listen, as in the host list.
+	PublishedAddress netip.AddrPort
 	// AdminListen serves metrics, status and readiness.
 	AdminListen netip.AddrPort
 	// Server is the address of this host's own server.
@@ -99,6 +101,8 @@
 		set: func(n *Node, s string) *refusal { return setName(&n.DataCentre, s) }},
 	{flag: "listen", help: "address and port for callers and peers",
 		set: func(n *Node, s string) *refusal { return setListen(&n.Listen, s) }},
+	{flag: "published-address", optional: true, help: "address of this host in the host list if it differs from -listen",
+		set: func(n *Node, s string) *refusal { return setAddress(&n.PublishedAddress, s) }},
 	{flag: "admin-listen", help: "address and port for metrics, status and readiness",
 		set: func(n *Node, s string) *refusal { return setListen(&n.AdminListen, s) }},
 	{flag: "server", help: "address and port of this host's own server",
--- a/config/node_test.go
+++ b/config/node_test.go
@@ -27,7 +27,8 @@
 	m := map[string]string{
 		"PRIMROSETHREAD_NAME": "h1", "PRIMROSETHREAD_DATA_CENTRE": "hobart",
 		"PRIMROSETHREAD_LISTEN": "0.0.0.0:7070", "PRIMROSETHREAD_ADMIN_LISTEN": "127.0.0.1:7071",
-		"PRIMROSETHREAD_SERVER": "127.0.0.1:8080", "PRIMROSETHREAD_PLATFORM": "10.0.0.1:80,10.0.0.2:80",
+		"PRIMROSETHREAD_PUBLISHED_ADDRESS": "10.0.0.9:7070",
+		"PRIMROSETHREAD_SERVER":            "127.0.0.1:8080", "PRIMROSETHREAD_PLATFORM": "10.0.0.1:80,10.0.0.2:80",
 		"PRIMROSETHREAD_FLEET_KEY": key,
 	}
 	for i := 0; i < len(pairs); i += 2 {
@@ -105,6 +106,21 @@
 	}
 }
 
+// Guards against a node that never uses its allowance slot, because the address
+// that it takes for its own is not the one in the host list.
+func TestPublishedAddress(t *testing.T) {
+	is := is.New(t)
+	n, err := config.ParseNode(nil, env(), io.Discard)
+	is.NoErr(err)
+	is.Equal(n.PublishedAddress.String(), "10.0.0.9:7070")
+	n, err = config.ParseNode([]string{"-listen", "10.0.0.8:7070"}, env("PRIMROSETHREAD_PUBLISHED_ADDRESS", ""), io.Discard)
+	is.NoErr(err)
+	is.Equal(n.PublishedAddress.String(), "10.0.0.8:7070")
+	_, err = config.ParseNode(nil, env("PRIMROSETHREAD_PUBLISHED_ADDRESS", ""), io.Discard)
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "give -published-address as well"))
+}
+
 // Guards against the newline that editors add to a file becoming part of the
 // key at one node and not at another.
 func TestKeyFile(t *testing.T) {
--- a/config/parse.go
+++ b/config/parse.go
@@ -67,6 +67,7 @@
 		n.apply(&s, given, lookup, &f)
 	}
 	n.checkKey(&f)
+	n.checkPublished(&f)
 	return n, f.err()
 }
 
@@ -110,6 +111,20 @@
 	}
 }
 
+// checkPublished takes over the address that is listened on as the published one,
+// unless another is given. Nobody reaches an unspecified address, and the host
+// list cannot hold it.
+func (n *Node) checkPublished(f *Findings) {
+	if n.PublishedAddress.IsValid() || !n.Listen.IsValid() {
+		return
+	}
+	if n.Listen.Addr().IsUnspecified() {
+		f.add(n.Listen, "does not tell the address in the host list", "give -published-address as well", "-listen")
+		return
+	}
+	n.PublishedAddress = n.Listen
+}
+
 // usage writes the help text of the node command.
 func usage(out io.Writer) {
 	fmt.Fprintln(out, "usage: primrosethread node [flags]\n\nEach flag has an environment variable; the flag wins.")
--- a/node/node.go
+++ b/node/node.go
@@ -106,7 +106,7 @@
 	}
 	n.recorder = stats.New(stats.Config{})
 	n.ledger, err = share.New(share.Config{
-		Self: s.Name, DataCentre: s.DataCentre, Address: s.Listen, Instance: n.instance,
+		Self: s.Name, DataCentre: s.DataCentre, Address: s.PublishedAddress, Instance: n.instance,
 		Terms: terms(), Documents: n.documents, Transport: n.peers, Logger: n.log,
 	})
 	if err != nil {
