--- a/cmd/standin/server.go
+++ b/cmd/standin/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -92,11 +93,12 @@
 // server is one server. Its state is guarded by mu.
 type server struct {
 	serverConfig
-	fault  *switches[serverFault]
-	ledger *ledger
-	counts serverCounts
-	conns  *limited      // nil in tests without a listener
-	free   chan struct{} // one token for each free slot
+	fault   *switches[serverFault]
+	ledger  *ledger
+	journal journal
+	counts  serverCounts
+	conns   *limited      // nil in tests without a listener
+	free    chan struct{} // one token for each free slot
 
 	mu       sync.Mutex
 	inFlight int // requests that are queued or run
@@ -155,6 +157,7 @@
 // work answers one request.
 func (s *server) work(w http.ResponseWriter, r *http.Request) {
 	s.counts.Arrived.Add(1)
+	s.journal.write(r.Header.Get(requestHeader), r.Header.Get(keyHeader), false)
 	ctx := r.Context()
 	if text := r.Header.Get(timeoutHeader); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 64)
@@ -241,6 +244,7 @@
 func (s *server) run(ctx context.Context, w http.ResponseWriter, r *http.Request, size int) {
 	id, key := r.Header.Get(requestHeader), r.Header.Get(keyHeader)
 	run := s.ledger.record(id, key)
+	s.journal.write(id, key, true)
 	cold, bears := s.begin()
 	completed := false
 	defer func() { s.finish(completed) }()
@@ -297,9 +301,13 @@
 		return
 	}
 	s.counts.Cut.Add(1)
+	b, err := json.Marshal(a)
+	if err != nil {
+		panic(err) // strings and numbers can be marshalled
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusOK)
-	fmt.Fprintf(w, `{"Request":%q,"Ke`, a.Request)
+	w.Write(b[:len(b)/2])
 	http.NewResponseController(w).Flush()
 	panic(http.ErrAbortHandler)
 }
@@ -351,6 +359,7 @@
 	fs := newFlags("server", out)
 	var c serverConfig
 	listen := fs.String("listen", "127.0.0.1:8080", "address and port to listen on")
+	journalPath := fs.String("journal", "", "file to append a line to for each request that arrives or runs")
 	control := fs.String("control-listen", "", "second address for the switches and counters, outside the connection limit")
 	fs.IntVar(&c.slots, "slots", 9, "requests that run at once")
 	fs.IntVar(&c.connections, "connections", 200, "connections beyond which new ones are closed")
@@ -370,6 +379,10 @@
 	}
 	log := slog.New(slog.NewTextHandler(out, nil))
 	s := newServer(c)
+	var err error
+	if s.journal, err = openJournal(*journalPath); err != nil {
+		return err
+	}
 	l, err := listenAt("-listen", *listen)
 	if err != nil {
 		return err
--- a/cmd/standin/server_test.go
+++ b/cmd/standin/server_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -124,6 +126,33 @@
 	})
 }
 
+// Guards against a run that no journal shows after the server was killed, and
+// against a shed request that looks as if it had run.
+func TestJournal(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I) {
+		path := filepath.Join(t.TempDir(), "journal")
+		s := testServer()
+		var err error
+		s.journal, err = openJournal(path)
+		is.NoErr(err)
+		h := s.handler()
+		do(h, "POST", "/deposits", "{}", requestHeader, "r1", keyHeader, "k1")
+		do(h, "POST", "/fault", `{"Drain":true}`)
+		do(h, "POST", "/deposits", "{}", requestHeader, "r2")
+		b, err := os.ReadFile(path)
+		is.NoErr(err)
+		var seen []entry
+		for line := range strings.Lines(string(b)) {
+			var e entry
+			is.NoErr(json.Unmarshal([]byte(line), &e))
+			is.True(!e.At.IsZero())
+			e.At = time.Time{}
+			seen = append(seen, e)
+		}
+		is.Equal(seen, []entry{{Request: "r1", Key: "k1"}, {Request: "r1", Key: "k1", Ran: true}, {Request: "r2"}})
+	})
+}
+
 // Guards against faults that are accepted and have no effect.
 func TestServerFaults(t *testing.T) {
 	bubble(t, func(t *testing.T, is *is.I) {
