demo: start the fleet with package fleet

cmd/demo and package fleet each had a launcher of processes. Package fleet is kept and takes over what only the demo had: processes are started from one locked thread, which the parent-death signal needs (a thread that Go retires would otherwise kill the fleet), in process groups of their own; the environment's PRIMROSETHREAD settings do not reach nodes; a process that ends by itself ends the run with the end of its log; documents are checked before they are published; servers have a control address; nodes have a seed; Stop asks for status 0. It is also able to publish another address than a node listens on, and reads ledgers and journals, for the failure tests.

--- a/cmd/demo/deployment.go
+++ b/cmd/demo/deployment.go
@@ -1,19 +1,18 @@
 package main
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"strings"
 	"time"
 
 	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/fleet"
 )
 
 // This file describes the two fleets of section 2.3 of the design page.
 
-// fleet is one deployment.
-type fleet struct {
+// deployment describes one fleet.
+type deployment struct {
 	name     string
 	region   prim.Region
 	cost     time.Duration // one way between two data centres
@@ -50,7 +49,7 @@
 func (c call) withKey() call         { c.keyed = true; return c }
 func (c call) internally() call      { c.internal, c.route.Internal = true, true; return c }
 
-var fleets = map[string]fleet{
+var deployments = map[string]deployment{
 	"tasmania": {
 		name: "tasmania", region: "tasmania", cost: 3 * time.Millisecond,
 		centres:  []prim.DataCentre{"hobart", "launceston", "devonport"},
@@ -77,8 +76,16 @@
 	},
 }
 
+// hosts counts the hosts.
+func (f *deployment) hosts() (n int) {
+	for _, s := range f.services {
+		n += s.servers
+	}
+	return n
+}
+
 // summary lists the services.
-func (f *fleet) summary() string {
+func (f *deployment) summary() string {
 	var parts []string
 	for _, s := range f.services {
 		parts = append(parts, fmt.Sprintf("%s on %d", s.name, s.servers))
@@ -107,35 +114,47 @@
 // over reports whether the customer sends more than its plan allows.
 func (c *customer) over() bool { return c.plan == "small" }
 
-// documents returns the published documents of a fleet on the given hosts.
-func (f *fleet) documents(cs []customer, hosts []prim.Host, since time.Time) map[string]any {
-	var plans prim.Plans
-	var allowances prim.Allowances
-	for _, c := range cs {
-		sum := sha256.Sum256([]byte(c.token))
-		plans.Customers = append(plans.Customers, prim.CustomerEntry{
-			Name: c.name, Plan: c.plan, Credentials: []string{hex.EncodeToString(sum[:])}, Internal: c.internal})
-		if n := len(allowances.Plans); n > 0 && allowances.Plans[n-1].Name == c.plan {
+// config returns the fleet with its documents, without folders.
+func (f *deployment) config(cs []customer) fleet.Config {
+	c := fleet.Config{NodeArgs: []string{"-costs", f.costs(), "-drain-timeout", "8s", "-log-format", "text"}}
+	for _, k := range cs {
+		c.Plans.Customers = append(c.Plans.Customers, prim.CustomerEntry{
+			Name: k.name, Plan: k.plan, Credentials: []string{fleet.Hash(k.token)}, Internal: k.internal})
+		if n := len(c.Allowances.Plans); n > 0 && c.Allowances.Plans[n-1].Name == k.plan {
 			continue
 		}
-		p := prim.Plan{Name: c.plan}
+		p := prim.Plan{Name: k.plan}
 		for _, s := range f.services {
-			p.Allowances = append(p.Allowances, prim.Allowance{Service: s.name, Rate: c.rate, Burst: c.burst})
+			p.Allowances = append(p.Allowances, prim.Allowance{Service: s.name, Rate: k.rate, Burst: k.burst})
 		}
-		allowances.Plans = append(allowances.Plans, p)
+		c.Allowances.Plans = append(c.Allowances.Plans, p)
 	}
-	for _, c := range f.calls {
-		allowances.Routes = append(allowances.Routes, c.route)
+	for _, k := range f.calls {
+		c.Allowances.Routes = append(c.Allowances.Routes, k.route)
 	}
-	var centres prim.DataCentres
-	for _, c := range f.centres {
-		centres.DataCentres = append(centres.DataCentres, prim.DataCentreEntry{Name: c, Region: f.region, InService: true})
+	for _, d := range f.centres {
+		c.DataCentres.DataCentres = append(c.DataCentres.DataCentres, prim.DataCentreEntry{Name: d, Region: f.region, InService: true})
 	}
-	list := prim.Hosts{Hosts: hosts}
+	hosts := 0
 	for _, s := range f.services {
-		list.Services = append(list.Services, prim.ServiceEntry{Name: s.name, Since: since, Slots: s.slots, Connections: s.connections})
+		e := fleet.Service{Name: s.name, Slots: s.slots, Connections: s.connections}
+		for n := range s.servers {
+			e.Hosts = append(e.Hosts, fleet.Place{
+				Host: prim.HostName(fmt.Sprintf("%s-%d", s.name, n+1)), DataCentre: f.centres[hosts%len(f.centres)]})
+			hosts++
+		}
+		c.Services = append(c.Services, e)
 	}
-	return map[string]any{
-		prim.NamePlans: plans, prim.NameAllowances: allowances, prim.NameDataCentres: centres, prim.NameHosts: list,
+	return c
+}
+
+// costs lists the times between the data centres as the nodes' setting.
+func (f *deployment) costs() string {
+	var costs []string
+	for i, a := range f.centres {
+		for _, b := range f.centres[:i] {
+			costs = append(costs, fmt.Sprintf("%s/%s=%s", a, b, f.cost))
+		}
 	}
+	return strings.Join(costs, ",")
 }
--- a/cmd/demo/load.go
+++ b/cmd/demo/load.go
@@ -38,8 +38,7 @@
 
 // load sends requests and keeps their ends.
 type load struct {
-	fleet fleet
-	d     *deployment
+	d     *running
 	total int // of the weights
 	// repeats is the share of keyed requests that are sent once more under the
 	// same key, as a caller does whose connection broke.
@@ -51,9 +50,9 @@
 	took    time.Duration
 }
 
-func newLoad(f fleet, d *deployment, repeats float64) *load {
-	l := &load{fleet: f, d: d, repeats: repeats}
-	for _, c := range f.calls {
+func newLoad(d *running, repeats float64) *load {
+	l := &load{d: d, repeats: repeats}
+	for _, c := range d.deployment.calls {
 		l.total += c.weight
 	}
 	return l
@@ -90,8 +89,8 @@
 func (l *load) draw() sent {
 	s := sent{id: uuid7()}
 	at := mrand.IntN(l.total)
-	for i := range l.fleet.calls {
-		if s.call = &l.fleet.calls[i]; at < s.call.weight {
+	for i := range l.d.deployment.calls {
+		if s.call = &l.d.deployment.calls[i]; at < s.call.weight {
 			break
 		}
 		at -= s.call.weight
@@ -128,8 +127,8 @@
 
 // exchange sends a request to a random node and reads the whole answer.
 func (l *load) exchange(ctx context.Context, s *sent) {
-	h := &l.d.hosts[mrand.IntN(len(l.d.hosts))]
-	url := fmt.Sprintf("http://%s/%s%s", h.Address, s.call.route.Service, s.call.path)
+	h := l.d.Hosts[mrand.IntN(len(l.d.Hosts))]
+	url := fmt.Sprintf("http://%s/%s%s", h.Listen, s.call.route.Service, s.call.path)
 	r, err := http.NewRequestWithContext(ctx, s.call.route.Method, url, bytes.NewReader([]byte(s.call.body)))
 	if err != nil {
 		panic(err) // the fleets in this package have valid paths
--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -51,7 +51,7 @@
 	if fs.Parse(args) != nil {
 		return 2
 	}
-	f, ok := fleets[s.fleet]
+	f, ok := deployments[s.fleet]
 	switch {
 	case !ok:
 		fmt.Fprintf(out, "-fleet: %q is not known; write one of %s\n", s.fleet, strings.Join(fleetNames(), ", "))
@@ -70,7 +70,7 @@
 }
 
 // demo runs one fleet from start to stop.
-func demo(ctx context.Context, f fleet, s settings, out io.Writer) (err error) {
+func demo(ctx context.Context, f deployment, s settings, out io.Writer) (err error) {
 	folder, err := os.MkdirTemp("", "primrosethread-demo-")
 	if err != nil {
 		return err
@@ -80,34 +80,30 @@
 	} else {
 		defer os.RemoveAll(folder)
 	}
-	d, err := place(f, folder)
+	fmt.Fprintf(out, "fleet %s: %d data centres, %d hosts, %s\n", f.name, len(f.centres), f.hosts(), f.summary())
+	d, err := start(ctx, s.bin, folder, f)
 	if err != nil {
 		return err
 	}
-	group, err := start(ctx, s.bin, d)
 	defer func() {
-		if e := group.stop(); e != nil && err == nil {
+		if e := d.Stop(); e != nil && err == nil {
 			err = e
 		}
 	}()
-	if err != nil {
-		return err
-	}
-	fmt.Fprintf(out, "fleet %s: %d data centres, %d hosts, %s\n", f.name, len(f.centres), len(d.hosts), f.summary())
-	if err := group.while(ctx, func(ctx context.Context) error { return d.ready(ctx) }); err != nil {
+	if err := d.While(ctx, d.ready); err != nil {
 		return fmt.Errorf("the fleet is not ready: %w", err)
 	}
 	fmt.Fprintf(out, "ready; sending %d requests a second for %s\n", s.rate, s.length)
-	l := newLoad(f, d, s.repeats)
-	if err := group.while(ctx, func(ctx context.Context) error { return l.run(ctx, s.rate, s.length) }); err != nil {
+	l := newLoad(d, s.repeats)
+	if err := d.While(ctx, func(ctx context.Context) error { return l.run(ctx, s.rate, s.length) }); err != nil {
 		return fmt.Errorf("the load was not sent: %w", err)
 	}
-	ledger, err := d.ledger(ctx)
+	ledger, err := d.Ledger(ctx)
 	if err != nil {
 		return err
 	}
 	// Nodes are stopped before the verdict, so that their exit is part of it.
-	if err := group.stop(); err != nil {
+	if err := d.Stop(); err != nil {
 		return err
 	}
 	return l.report(out, ledger)
@@ -115,7 +111,7 @@
 
 func fleetNames() []string {
 	var names []string
-	for n := range fleets {
+	for n := range deployments {
 		names = append(names, n)
 	}
 	slices.Sort(names)
--- a/cmd/demo/report.go
+++ b/cmd/demo/report.go
@@ -72,7 +72,7 @@
 	}
 	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(w, "Class\tRequests\tDone\tServerErrors\tOverAllowance\tNotRun\tUnknown\tP50Ms\tP99Ms")
-	for _, c := range l.fleet.calls {
+	for _, c := range l.d.deployment.calls {
 		if r := rows[c.route.Class]; r != nil {
 			r.print(w, string(c.route.Class))
 		}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -17,14 +17,14 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/config"
 )
 
 // Config describes a fleet.
@@ -40,6 +40,12 @@
 	DataCentres prim.DataCentres
 	// NodeArgs are added to the arguments of every node.
 	NodeArgs []string
+	// Address returns the address to publish for a node that listens at listen,
+	// such as that of a relay in front of it. Without it listen is published.
+	Address func(h prim.HostName, listen netip.AddrPort) (netip.AddrPort, error)
+	// Journals makes every server write its runs to a file, so that they are
+	// known after the server was killed; see Journal.
+	Journals bool
 }
 
 // Service is a service with its hosts.
@@ -65,6 +71,7 @@
 	Listen   netip.AddrPort // of the node, for callers and peers
 	Admin    netip.AddrPort // of the node, for status and metrics
 	Server   netip.AddrPort
+	Control  netip.AddrPort // of the server, outside its connection limit
 	Node     *Process
 	ServerOf *Process
 	service  *Service
@@ -75,15 +82,22 @@
 	c        Config
 	key      string
 	Platform netip.AddrPort
-	platform *Process
 	Hosts    []*Host
 	started  time.Time
 
-	mu        sync.Mutex
-	processes []*Process
-	hosts     prim.Hosts
+	processes *processes
+
+	mu    sync.Mutex
+	hosts prim.Hosts
 }
 
+// nodeProgram is the name of the product's program.
+const nodeProgram = "primrosethread"
+
+// age is how long ago the hosts were published, as if the fleet had been there
+// before this run.
+const age = time.Hour
+
 // Hash returns the form in which a token is published.
 func Hash(token string) string {
 	sum := sha256.Sum256([]byte(token))
@@ -93,8 +107,8 @@
 // Start starts the platform and all hosts and waits until every node is ready.
 // It leaves no process behind when it fails.
 func Start(ctx context.Context, c Config) (*Fleet, error) {
-	f := &Fleet{c: c, key: rand.Text() + rand.Text(), started: time.Now()}
-	if err := f.start(ctx); err != nil {
+	f := &Fleet{c: c, key: rand.Text() + rand.Text(), started: time.Now(), processes: newProcesses()}
+	if err := f.While(ctx, f.start); err != nil {
 		f.Close()
 		return nil, err
 	}
@@ -105,11 +119,13 @@
 	if err := f.layOut(); err != nil {
 		return err
 	}
-	var err error
-	if f.platform, err = f.run("platform", "standin", "platform", "-folder", f.documents(), "-listen", f.Platform.String()); err != nil {
+	if _, err := f.run("platform", "standin", "platform", "-folder", f.documents(), "-listen", f.Platform.String()); err != nil {
 		return err
 	}
 	for _, h := range f.Hosts {
+		if ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
 		if err := f.StartServer(h); err != nil {
 			return err
 		}
@@ -129,25 +145,31 @@
 func (f *Fleet) layOut() error {
 	n := 1
 	for _, s := range f.c.Services {
-		n += 3 * len(s.Hosts)
+		n += 4 * len(s.Hosts)
 	}
 	addrs, err := freeAddresses(n)
 	if err != nil {
 		return err
 	}
 	f.Platform, addrs = addrs[0], addrs[1:]
-	since := f.started.UTC().Truncate(time.Second)
+	since := f.started.Add(-age).UTC().Truncate(time.Second)
 	for i := range f.c.Services {
 		s := &f.c.Services[i]
 		f.hosts.Services = append(f.hosts.Services, prim.ServiceEntry{
 			Name: s.Name, Since: since, Slots: s.Slots, Connections: s.Connections,
 		})
 		for _, p := range s.Hosts {
-			h := &Host{Place: p, Service: s.Name, Listen: addrs[0], Admin: addrs[1], Server: addrs[2], service: s}
-			addrs = addrs[3:]
+			h := &Host{Place: p, Service: s.Name, Listen: addrs[0], Admin: addrs[1], Server: addrs[2], Control: addrs[3], service: s}
+			addrs = addrs[4:]
+			published := h.Listen
+			if f.c.Address != nil {
+				if published, err = f.c.Address(p.Host, h.Listen); err != nil {
+					return err
+				}
+			}
 			f.Hosts = append(f.Hosts, h)
 			f.hosts.Hosts = append(f.hosts.Hosts, prim.Host{
-				Name: p.Host, DataCentre: p.DataCentre, Service: s.Name, Address: h.Listen,
+				Name: p.Host, DataCentre: p.DataCentre, Service: s.Name, Address: published,
 				State: prim.HostLive, Since: since,
 			})
 		}
@@ -155,12 +177,23 @@
 	if err := os.MkdirAll(f.documents(), 0o755); err != nil {
 		return err
 	}
-	return errors.Join(
-		f.Publish(prim.NamePlans, f.c.Plans),
-		f.Publish(prim.NameAllowances, f.c.Allowances),
-		f.Publish(prim.NameDataCentres, f.c.DataCentres),
-		f.Publish(prim.NameHosts, f.hosts),
-	)
+	var set config.Set
+	for name, d := range map[string]any{
+		prim.NamePlans: f.c.Plans, prim.NameAllowances: f.c.Allowances,
+		prim.NameDataCentres: f.c.DataCentres, prim.NameHosts: f.hosts,
+	} {
+		body, err := json.MarshalIndent(d, "", "  ")
+		if err != nil {
+			return err
+		}
+		if err := errors.Join(set.Parse(name, body), f.PublishRaw(name, body)); err != nil {
+			return err
+		}
+	}
+	if found := set.CheckAcross(); len(found) > 0 {
+		return found
+	}
+	return nil
 }
 
 func (f *Fleet) documents() string { return filepath.Join(f.c.Folder, "documents") }
@@ -195,9 +228,12 @@
 // StartServer starts the server of a host.
 func (f *Fleet) StartServer(h *Host) error {
 	args := append([]string{
-		"server", "-listen", h.Server.String(),
+		"server", "-listen", h.Server.String(), "-control-listen", h.Control.String(),
 		"-slots", strconv.Itoa(h.service.Slots), "-connections", strconv.Itoa(h.service.Connections),
 	}, h.service.ServerArgs...)
+	if f.c.Journals {
+		args = append(args, "-journal", f.journal(h))
+	}
 	p, err := f.run("server-"+string(h.Host), "standin", args...)
 	h.ServerOf = p
 	return err
@@ -209,8 +245,13 @@
 		"node", "-name", string(h.Host), "-data-centre", string(h.DataCentre),
 		"-listen", h.Listen.String(), "-admin-listen", h.Admin.String(),
 		"-server", h.Server.String(), "-platform", f.Platform.String(),
+		"-seeds", f.seed(h),
 	}, f.c.NodeArgs...)
-	p, err := f.run("node-"+string(h.Host), "primrosethread", args...)
+	entry := f.entry(h.Place.Host)
+	if entry.Address != h.Listen {
+		args = append(args, "-published-address", entry.Address.String())
+	}
+	p, err := f.run("node-"+string(h.Host), nodeProgram, args...)
 	h.Node = p
 	return err
 }
@@ -225,17 +266,49 @@
 	return nil
 }
 
-// WaitReady waits until the node of a host serves.
+// seed names the next host as a peer from which a node may get the documents.
+func (f *Fleet) seed(h *Host) string {
+	next := f.Hosts[(slices.Index(f.Hosts, h)+1)%len(f.Hosts)].Place.Host
+	return fmt.Sprintf("%s=%s", next, f.entry(next).Address)
+}
+
+// entry returns the newest entry of a host in the host list.
+func (f *Fleet) entry(name prim.HostName) prim.Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var found prim.Host
+	for _, e := range f.hosts.Hosts {
+		if e.Name == name {
+			found = e
+		}
+	}
+	return found
+}
+
+// WaitReady waits until the server and the node of a host serve.
 func (f *Fleet) WaitReady(ctx context.Context, h *Host) error {
+	for _, w := range []struct {
+		p  *Process
+		at netip.AddrPort
+	}{{h.ServerOf, h.Control}, {h.Node, h.Admin}} {
+		if err := waitReady(ctx, w.p, w.at); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func waitReady(ctx context.Context, p *Process, at netip.AddrPort) error {
 	for {
-		if _, err := Get(ctx, "http://"+h.Admin.String()+"/readyz"); err == nil {
+		_, err := Get(ctx, "http://"+at.String()+"/readyz")
+		if err == nil {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("node of host %q is not ready: %w; see its log in %s", h.Place.Host, ctx.Err(), f.c.Folder)
-		case <-h.Node.Ended():
-			return fmt.Errorf("node of host %q ended; see its log in %s", h.Place.Host, f.c.Folder)
+			return fmt.Errorf("%s is not ready: %w; last: %w", p.name, context.Cause(ctx), err)
+		case <-p.Ended():
+			return p.describe()
 		case <-time.After(20 * time.Millisecond):
 		}
 	}
@@ -277,72 +350,31 @@
 	return b, err
 }
 
-// Close stops all processes, frozen ones included, and waits for their end.
-func (f *Fleet) Close() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, p := range f.processes {
-		p.Kill()
-	}
-	for _, p := range f.processes {
-		<-p.Ended()
-	}
-}
-
-// Process is one process of a fleet.
-type Process struct {
-	cmd   *exec.Cmd
-	ended chan struct{}
-	err   error
-}
-
-// run starts a program with its output in a log file.
-func (f *Fleet) run(name, program string, args ...string) (*Process, error) {
-	log, err := os.OpenFile(filepath.Join(f.c.Folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if err != nil {
-		return nil, err
-	}
-	defer log.Close()
-	cmd := exec.Command(filepath.Join(f.c.Bin, program), args...)
-	cmd.Stdout, cmd.Stderr = log, log
-	cmd.Env = append(os.Environ(), "PRIMROSETHREAD_FLEET_KEY="+f.key)
-	// A fleet must not outlive its starter, even if that is killed.
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
-		return nil, fmt.Errorf("start %s: %w; build the programs with make build", program, err)
+// Close kills all processes, frozen ones included, and waits for their end.
+func (f *Fleet) Close() { f.processes.stop(false) }
+
+// Stop stops the nodes as on a planned stop, then the other processes. The error
+// says which nodes did not end with status 0 within 12 s.
+func (f *Fleet) Stop() error { return f.processes.stop(true) }
+
+// While runs do and cancels its context with an error if a process ends that
+// was neither stopped nor killed by a method of this package.
+func (f *Fleet) While(ctx context.Context, do func(ctx context.Context) error) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	end := make(chan error, 1)
+	go func() { end <- do(ctx) }()
+	select {
+	case err := <-end:
+		return err
+	case p := <-f.processes.died:
+		err := p.describe()
+		cancel(err)
+		<-end
+		return err
 	}
-	p := &Process{cmd: cmd, ended: make(chan struct{})}
-	go func() {
-		p.err = cmd.Wait()
-		close(p.ended)
-	}()
-	f.mu.Lock()
-	f.processes = append(f.processes, p)
-	f.mu.Unlock()
-	return p, nil
 }
 
-// Ended is closed when the process has ended.
-func (p *Process) Ended() <-chan struct{} { return p.ended }
-
-// Err returns how the process ended; call it after Ended is closed.
-func (p *Process) Err() error { return p.err }
-
-// PID returns the process id.
-func (p *Process) PID() int { return p.cmd.Process.Pid }
-
-// Stop asks the process to stop, as on a planned stop.
-func (p *Process) Stop() { p.cmd.Process.Signal(syscall.SIGTERM) }
-
-// Kill ends the process at once.
-func (p *Process) Kill() { p.cmd.Process.Kill() }
-
-// Freeze pauses the process until Thaw.
-func (p *Process) Freeze() { p.cmd.Process.Signal(syscall.SIGSTOP) }
-
-// Thaw lets a frozen process go on.
-func (p *Process) Thaw() { p.cmd.Process.Signal(syscall.SIGCONT) }
-
 // freeAddresses returns n loopback addresses that nobody listens on.
 func freeAddresses(n int) ([]netip.AddrPort, error) {
 	var listeners []net.Listener
