source: read the index from each replica in turn

A node stayed with one replica of the configuration service until that failed. A stale replica does not fail, and all nodes begin with the first of the list, so a change published while the first replica was stale was in force nowhere after 10 s, although the second replica served it. Gossip was ruled out: no node had the version to tell.

Each read of the index now goes to the next replica; documents are read from the replica whose index named them. The rate of reads stays the same. While one of n replicas is down, one read in n fails, and the warning about it is logged again after each success.

--- a/source/replicas.go
+++ b/source/replicas.go
@@ -8,11 +8,15 @@
 	prim "github.com/primrosethread/primrosethread"
 )
 
-// Replicas reads from one of several replicas of the platform's service. It
-// stays with a replica until that fails, and then turns to the next.
+// Replicas reads from the replicas of the platform's service. Every read of the
+// index goes to the next replica: a stale one answers as a current one does, so
+// a reader that stayed with it would never learn of a change. Documents are read
+// from the replica of the last index, which has the versions that it named, or
+// from the next one after a failure.
 type Replicas struct {
 	clients []prim.Platform
-	current atomic.Uint32
+	indexes atomic.Uint32 // reads of the index so far
+	current atomic.Uint32 // for documents
 }
 
 // NewReplicas returns a reader of the given replicas; there must be at least
@@ -26,6 +30,7 @@
 
 // Index returns the digests of all documents.
 func (r *Replicas) Index(ctx context.Context) ([]prim.Digest, error) {
+	r.current.Store(r.indexes.Add(1))
 	return try(r, func(p prim.Platform) ([]prim.Digest, error) { return p.Index(ctx) })
 }
 
