front: a node without documents answers 503, not 401

A node that has just started listens before it has the documents, and then refused valid credentials with 401 and valid services with 404, as errors of the caller. It now answers 503 NotRun with Retry-After until every document is there, as /readyz does. Listening later was ruled out: peers must reach the node.

--- a/front/front.go
+++ b/front/front.go
@@ -98,6 +98,11 @@
 // request builds the request or returns a *Problem.
 func (f *Front) request(w http.ResponseWriter, hr *http.Request, now time.Time) (*prim.Request, error) {
 	view := f.c.Documents.View()
+	if len(view.Digests) < len(prim.DocumentNames) {
+		// Without them a valid credential or service looks unknown.
+		return nil, &Problem{Status: http.StatusServiceUnavailable, Title: "the node has just started and lacks documents",
+			Outcome: prim.NotRun.String(), Remedy: "retry, or use another node", retryAfter: time.Second}
+	}
 	service := prim.Service(mux.Vars(hr)["service"])
 	token, ok := strings.CutPrefix(hr.Header.Get("Authorization"), "Bearer ")
 	if !ok {
