--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,6 +20,7 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -43,6 +44,9 @@
 	// Address returns the address to publish for a node that listens at listen,
 	// such as that of a relay in front of it. Without it listen is published.
 	Address func(h prim.HostName, listen netip.AddrPort) (netip.AddrPort, error)
+	// Replicas is the number of platform processes, which all serve the same
+	// documents; 0 means 1.
+	Replicas int
 	// Journals makes every server write its runs to a file, so that they are
 	// known after the server was killed; see Journal.
 	Journals bool
@@ -79,12 +83,13 @@
 
 // Fleet is a running fleet.
 type Fleet struct {
-	c        Config
-	key      string
-	Platform netip.AddrPort
-	Hosts    []*Host
-	started  time.Time
+	c   Config
+	key string
+	// Platforms are the addresses of the platform's replicas.
+	Platforms []netip.AddrPort
+	Hosts     []*Host
 
+	started   time.Time
 	processes *processes
 
 	mu    sync.Mutex
@@ -119,8 +124,10 @@
 	if err := f.layOut(); err != nil {
 		return err
 	}
-	if _, err := f.run("platform", "standin", "platform", "-folder", f.documents(), "-listen", f.Platform.String()); err != nil {
-		return err
+	for i, a := range f.Platforms {
+		if _, err := f.run(fmt.Sprintf("platform-%d", i+1), "standin", "platform", "-folder", f.documents(), "-listen", a.String()); err != nil {
+			return err
+		}
 	}
 	for _, h := range f.Hosts {
 		if ctx.Err() != nil {
@@ -143,7 +150,8 @@
 
 // layOut gives every process an address and writes the documents.
 func (f *Fleet) layOut() error {
-	n := 1
+	replicas := max(1, f.c.Replicas)
+	n := replicas
 	for _, s := range f.c.Services {
 		n += 4 * len(s.Hosts)
 	}
@@ -151,7 +159,7 @@
 	if err != nil {
 		return err
 	}
-	f.Platform, addrs = addrs[0], addrs[1:]
+	f.Platforms, addrs = addrs[:replicas], addrs[replicas:]
 	since := f.started.Add(-age).UTC().Truncate(time.Second)
 	for i := range f.c.Services {
 		s := &f.c.Services[i]
@@ -244,7 +252,7 @@
 	args := append([]string{
 		"node", "-name", string(h.Host), "-data-centre", string(h.DataCentre),
 		"-listen", h.Listen.String(), "-admin-listen", h.Admin.String(),
-		"-server", h.Server.String(), "-platform", f.Platform.String(),
+		"-server", h.Server.String(), "-platform", f.platforms(),
 		"-seeds", f.seed(h),
 	}, f.c.NodeArgs...)
 	entry := f.entry(h.Place.Host)
@@ -266,6 +274,15 @@
 	return nil
 }
 
+// platforms lists the platform's replicas as the nodes' setting.
+func (f *Fleet) platforms() string {
+	var list []string
+	for _, a := range f.Platforms {
+		list = append(list, a.String())
+	}
+	return strings.Join(list, ",")
+}
+
 // seed names the next host as a peer from which a node may get the documents.
 func (f *Fleet) seed(h *Host) string {
 	next := f.Hosts[(slices.Index(f.Hosts, h)+1)%len(f.Hosts)].Place.Host
@@ -375,7 +392,9 @@
 	}
 }
 
-// freeAddresses returns n loopback addresses that nobody listens on.
+// freeAddresses returns n addresses that nobody listens on. They share a random
+// loopback address: outgoing connections, which come from 127.0.0.1, could take
+// a port there before the fleet's process listens on it.
 func freeAddresses(n int) ([]netip.AddrPort, error) {
 	var listeners []net.Listener
 	defer func() {
@@ -383,9 +402,12 @@
 			l.Close()
 		}
 	}()
+	b := make([]byte, 3)
+	rand.Read(b)
+	host := netip.AddrFrom4([4]byte{127, 1 + b[0]%254, b[1], 1 + b[2]%254})
 	var addrs []netip.AddrPort
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", netip.AddrPortFrom(host, 0).String())
 		if err != nil {
 			return nil, err
 		}
