--- a/front/front_test.go
+++ b/front/front_test.go
@@ -48,8 +48,13 @@
 }
 
 func start(t *testing.T) (*ports, *httptest.Server) {
+	digests := make(map[string]prim.Digest)
+	for _, n := range prim.DocumentNames {
+		digests[n] = prim.Digest{Name: n, Version: 1}
+	}
 	p := &ports{
 		view: prim.NewView(prim.ViewConfig{
+			Digests: digests,
 			Plans: prim.Plans{Customers: []prim.CustomerEntry{
 				{Name: "family", Plan: "p", Credentials: []string{hash("f")}},
 				{Name: "app", Plan: "p", Credentials: []string{hash("a")}, Internal: true},
