once: a host that leaves retires, so its keys do not end as Unknown

Ruled out: a promise of the leaving host for all keys. An earlier instance of the host may have run a key whose record a restart lost; the generated scenarios found this as a second run. The promise covers only keys created after the start of the instance that gives it. Also a promise told by any candidate: only the next one has the records.

Change: after the hand-over of records a host that its own list shows as leaving promises each live host that accepted its records to run no key any more. The next candidate tells it to a walk that is stuck at the removed host. To keep the promise an owner runs keys only while a list issued after its own start shows it as live, and passes them on otherwise. Scenarios have partitions between ingress nodes and hosts, planned restarts, and hand-overs that fail.

Edits that make a test fail: no retirement, any candidate tells (200 scenarios); a host that is not leaving retires, promise for all keys, runs while leaving, promise to hosts that missed records (4,000). Not covered by a failing test: the age of the list after a restart alone, and the choice of the earliest of several promises.

--- a/once/fake_test.go
+++ b/once/fake_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"sync"
@@ -21,23 +20,27 @@
 	Work      time.Duration
 }
 
-// machine is a host of the service: when it was published and removed, and the
-// current instance of its owner.
+// machine is a host of the service: its times in the host list, and the current
+// instance of its owner.
 type machine struct {
-	since, until time.Time
-	down         bool
-	instance     int
-	owner        *Owner
-	handler      prim.Handler
+	since, leaving, until time.Time
+	down                  bool
+	instance              int
+	owner                 *Owner
+	handler               prim.Handler
 }
 
-// world is a service, seen by nodes whose host lists are of different ages.
+// world is a service, seen by nodes whose host lists are of different ages. The
+// embedded ports are nil: their other methods are not called.
 type world struct {
+	prim.Members
+	prim.Policy
 	skew    time.Duration // of the platform's clock
 	founded time.Time
 	lags    map[prim.HostName]time.Duration // age of a node's host list
 	faults  []fault
 	bytes   int64
+	parted  func(ingress, h prim.HostName) bool
 
 	mu    sync.Mutex
 	hosts map[prim.HostName]*machine
@@ -65,21 +68,28 @@
 	m := w.hosts[h]
 	m.instance++
 	m.down = false
-	m.owner = NewOwner(OwnerConfig{Host: h, Next: &serverOwner{w, h}, Documents: &documents{w, h},
-		Transport: &transport{w, h, m}, Started: at, Bytes: w.bytes})
+	m.owner = NewOwner(OwnerConfig{Host: h, Next: &serverOwner{w: w, host: h}, Documents: &documents{w, h},
+		Transport: &transport{w: w, from: h, m: m}, Started: at, Bytes: w.bytes})
 }
 
 func (w *world) walker(ingress prim.HostName) *Walker {
-	return NewWalker(WalkerConfig{Host: ingress, Documents: &documents{w, ingress}, Members: w, Policy: w, Owners: w})
+	return NewWalker(WalkerConfig{Host: ingress, Documents: &documents{w, ingress}, Members: w, Policy: w, Owners: &side{w, ingress}})
 }
 
-func (w *world) Reachable(prim.HostName) bool            { return true }
-func (w *world) Failed(prim.HostName)                    {}
-func (w *world) Seen(prim.HostName, prim.Instance)       {}
-func (w *world) Observe(prim.Sample)                     {}
-func (w *world) Finished(prim.Attempt)                   {}
-func (w *world) Pick(prim.Service, []prim.Candidate) int { return 0 }
-func (w *world) Owner(h prim.HostName) prim.Owner        { return &remote{w, h} }
+func (w *world) Failed(prim.HostName)             {}
+func (w *world) Observe(prim.Sample)              {}
+func (w *world) Finished(prim.Attempt)            {}
+func (w *world) Owner(h prim.HostName) prim.Owner { return &remote{w: w, host: h} }
+
+// side is the network as one ingress node has it.
+type side struct {
+	*world
+	ingress prim.HostName
+}
+
+func (s *side) Owner(h prim.HostName) prim.Owner {
+	return &remote{w: s.world, host: h, from: s.ingress}
+}
 
 func (w *world) next() (f fault) {
 	w.mu.Lock()
@@ -106,6 +116,9 @@
 		if m.since.After(at) {
 			continue
 		}
+		if !m.leaving.IsZero() && !m.leaving.After(at) {
+			h.State = prim.HostLeaving
+		}
 		if !m.until.IsZero() && !m.until.After(at) {
 			h.State, h.Until = prim.HostLost, m.until.Add(d.w.skew)
 		}
@@ -125,14 +138,9 @@
 
 // remote is an owner across the network.
 type remote struct {
-	w    *world
-	host prim.HostName
-}
-
-func (o *remote) Sample() prim.Sample { return prim.Sample{} }
-
-func (o *remote) Reserve(context.Context, *prim.Request) (prim.Reservation, error) {
-	return nil, errors.ErrUnsupported
+	prim.Owner
+	w          *world
+	host, from prim.HostName
 }
 
 func (o *remote) Dispatch(ctx context.Context, r *prim.Request) (*prim.Answer, error) {
@@ -141,7 +149,7 @@
 	m := o.w.hosts[o.host]
 	down, instance := m.down, m.instance
 	o.w.mu.Unlock()
-	if down {
+	if down || o.w.parted != nil && o.w.parted(o.from, o.host) {
 		return nil, &prim.Refusal{Reason: prim.ReasonUnreachable, Host: o.host}
 	}
 	type end struct {
@@ -150,10 +158,10 @@
 	}
 	ends := make(chan end, 2)
 	sent := time.Now()
+	lost := end{nil, &prim.Lost{Host: o.host, Cause: io.EOF}}
 	go func() {
 		if f.Cut {
-			ends <- end{nil, &prim.Lost{Host: o.host, Cause: io.EOF}}
-			if f.Delay == 0 {
+			if ends <- lost; f.Delay == 0 {
 				return
 			}
 		}
@@ -174,7 +182,7 @@
 		}
 		a, err := owner.Dispatch(c, &late)
 		if f.LoseReply {
-			a, err = nil, &prim.Lost{Host: o.host, Cause: io.EOF}
+			a, err = lost.a, lost.err
 		}
 		ends <- end{a, err}
 	}()
@@ -188,16 +196,13 @@
 
 // serverOwner is the owner behind the records: it counts runs.
 type serverOwner struct {
+	prim.Owner
 	w    *world
 	host prim.HostName
 }
 
 func (o *serverOwner) Sample() prim.Sample { return prim.Sample{Host: o.host} }
 
-func (o *serverOwner) Reserve(context.Context, *prim.Request) (prim.Reservation, error) {
-	return nil, errors.ErrUnsupported
-}
-
 func (o *serverOwner) Dispatch(ctx context.Context, r *prim.Request) (*prim.Answer, error) {
 	f := o.w.next()
 	if f.Busy || !time.Now().Before(r.Deadline) {
@@ -216,6 +221,7 @@
 
 // transport delivers hand-overs to hosts that are up.
 type transport struct {
+	prim.Transport
 	w    *world
 	from prim.HostName
 	m    *machine
@@ -223,15 +229,11 @@
 
 func (t *transport) Handle(_ prim.Kind, h prim.Handler) { t.m.handler = h }
 
-func (t *transport) Tell(context.Context, prim.HostName, prim.Message) error {
-	return errors.ErrUnsupported
-}
-
 func (t *transport) Ask(ctx context.Context, to prim.HostName, m prim.Message) (prim.Message, error) {
 	t.w.mu.Lock()
 	down, h := t.w.hosts[to].down, t.w.hosts[to].handler
 	t.w.mu.Unlock()
-	if down {
+	if down || t.w.next().Cut {
 		return prim.Message{}, io.EOF
 	}
 	return h(ctx, t.from, m)
--- a/once/handover.go
+++ b/once/handover.go
@@ -14,6 +14,15 @@
 
 // A planned stop hands every record to the next candidate of its key, where a
 // walk finds it by a Lookup once this host no longer answers.
+//
+// A host that its own list shows as leaving then retires: it promises the others
+// never to run any key. Without that promise every key whose candidate it was
+// would end as Unknown for KeyWindow after its removal. A later instance under
+// the same entry of the host list keeps the promise too, because an owner runs
+// keys only while a list that was issued after its own start shows it as live,
+// and the platform gives a host that returns a new Since. The promise holds for
+// keys that only this instance can have run, and only the next candidate of such
+// a key may tell of it, since it got the records.
 
 // KindRecordHandOver is the kind of the message that moves records.
 const KindRecordHandOver prim.Kind = "RecordHandOver"
@@ -24,8 +33,13 @@
 
 // handOver is the body of the message.
 type handOver struct {
-	From    prim.HostName `cbor:"1,keyasint"`
-	Records []record      `cbor:"2,keyasint"`
+	Records []record `cbor:"1,keyasint,omitempty"`
+	// Retired is set when every record for the receiver was delivered and no
+	// key will run at the sender's entry of the host list, named by Since.
+	// Keys created up to After may have run at an earlier instance.
+	Retired bool      `cbor:"2,keyasint,omitempty"`
+	Since   time.Time `cbor:"3,keyasint,omitzero"`
+	After   time.Time `cbor:"4,keyasint,omitzero"`
 }
 
 // record is an entry on its way.
@@ -64,29 +78,68 @@
 	now := time.Now()
 	v := o.config.Documents.View()
 	var failed error
-	for to, records := range o.snapshot(v, now) {
+	missed := make(map[prim.HostName]bool)
+	batches, steady := o.snapshot(v, now)
+	for to, records := range batches {
 		if to == "" {
 			failed = errNoSuccessor
 			continue
 		}
 		for len(records) > 0 {
 			n := batch(records)
-			if err := o.send(ctx, v, to, records[:n], now); err != nil {
+			accepted, err := o.send(ctx, o.successors(v, records[0], now), to, records[:n])
+			if err != nil {
 				failed = err
 			}
+			if accepted != to {
+				missed[to] = true
+			}
 			records = records[n:]
 		}
 	}
+	if steady && fresh(v, now) {
+		o.retire(ctx, v, missed)
+	}
 	return failed
 }
 
+// retire promises the others that no key runs here any more. Those that missed
+// records must not tell of it. A promise that is not delivered costs availability
+// only, so errors are ignored.
+func (o *Owner) retire(ctx context.Context, v *prim.View, missed map[prim.HostName]bool) {
+	self, ok := v.Host(o.config.Host)
+	if !ok || self.State != prim.HostLeaving {
+		return
+	}
+	m := handOver{Retired: true, Since: self.Since, After: o.config.Started.Add(KeyMargin)}
+	for _, h := range v.ServiceHosts(self.Service) {
+		if h.State == prim.HostLive && !missed[h.Name] {
+			o.tell(ctx, h.Name, m)
+		}
+	}
+}
+
+func (o *Owner) tell(ctx context.Context, to prim.HostName, m handOver) error {
+	body, err := encoding.Marshal(m)
+	if err != nil {
+		return err
+	}
+	_, err = o.config.Transport.Ask(ctx, to, prim.Message{Kind: KindRecordHandOver, Body: body})
+	return err
+}
+
 // snapshot returns the records by the host that shall get them, which is empty
-// for those that no host can get.
-func (o *Owner) snapshot(v *prim.View, now time.Time) map[prim.HostName][]record {
+// for those that no host can get. It returns false if the order of some key is
+// not known.
+func (o *Owner) snapshot(v *prim.View, now time.Time) (map[prim.HostName][]record, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	records := make(map[prim.HostName][]record)
+	steady := true
 	for _, e := range o.table.entries {
+		if _, ok := order(v, e.id, e.created, now); !ok {
+			steady = false
+		}
 		r := record{ID: e.id, State: e.state, Digest: slices.Clone(e.digest[:]), Created: e.created, Others: slices.Clone(e.others), size: e.size}
 		if e.answer != nil {
 			r.Kept, r.Status, r.Header, r.Body = true, e.answer.Status, e.answer.Header, e.answer.Body
@@ -97,7 +150,7 @@
 		}
 		records[to] = append(records[to], r)
 	}
-	return records
+	return records, steady
 }
 
 func (o *Owner) drain(ctx context.Context) error {
@@ -143,20 +196,18 @@
 	return n
 }
 
-// send gives records to a host, or else to the later candidates of the first key.
-func (o *Owner) send(ctx context.Context, v *prim.View, to prim.HostName, records []record, now time.Time) error {
-	body, err := encoding.Marshal(handOver{From: o.config.Host, Records: records})
-	if err != nil {
-		return err
-	}
-	hosts := o.successors(v, records[0], now)
+// send gives records to a host, or else to later candidates of the first key. It
+// returns the host that accepted them.
+func (o *Owner) send(ctx context.Context, hosts []prim.HostName, to prim.HostName, records []record) (prim.HostName, error) {
 	at := max(slices.Index(hosts, to), 0)
+	var err error
 	for i := range hosts {
-		if _, err = o.config.Transport.Ask(ctx, hosts[(at+i)%len(hosts)], prim.Message{Kind: KindRecordHandOver, Body: body}); err == nil {
-			return nil
+		h := hosts[(at+i)%len(hosts)]
+		if err = o.tell(ctx, h, handOver{Records: records}); err == nil {
+			return h, nil
 		}
 	}
-	return errors.Join(errNoSuccessor, err)
+	return "", errors.Join(errNoSuccessor, err)
 }
 
 // accept takes over the records of another host.
@@ -171,6 +222,13 @@
 		return prim.Message{}, errors.New("this host is stopping too; hand the records to another")
 	}
 	now := time.Now()
+	if h.Retired {
+		k := retiree{from, h.Since.UnixNano()}
+		// A later instance runs nothing, so the earliest promise stays true.
+		if old, ok := o.retired[k]; !ok || h.After.Before(old) {
+			o.retired[k] = h.After
+		}
+	}
 	for _, r := range h.Records {
 		if err := o.insert(from, r, now); err != nil {
 			return prim.Message{}, err
@@ -179,6 +237,39 @@
 	return prim.Message{Kind: "Accepted"}, nil
 }
 
+// retiree names a host that has retired. A host has one entry for each Since; the
+// number of them is bounded by the host list.
+type retiree struct {
+	host  prim.HostName
+	since int64
+}
+
+// passed returns the refusal of a lookup without a record. It names the candidate
+// whose tombstones, with those of all before it, were handed over to this host,
+// or else the one just before this host if that one has retired.
+func (o *Owner) passed(hosts []*prim.Host, created time.Time, e *entry) *prim.Refusal {
+	no := o.refuse(prim.ReasonNoRecord)
+	self := slices.IndexFunc(hosts, func(h *prim.Host) bool { return h.Name == o.config.Host })
+	if self > 0 {
+		h := hosts[self-1]
+		if after, ok := o.retired[retiree{h.Name, h.Since.UnixNano()}]; ok && created.After(after) {
+			no.Reason, no.Host = prim.ReasonLeaving, h.Name
+		}
+	}
+	if e == nil {
+		return no
+	}
+	for i, h := range slices.Backward(hosts) {
+		if slices.Contains(e.others, h.Name) {
+			if no.Reason != prim.ReasonLeaving || i >= self-1 {
+				no.Reason, no.Host = prim.ReasonNoRecord, h.Name
+			}
+			break
+		}
+	}
+	return no
+}
+
 // insert merges a record into the table. A record of a run supersedes a
 // tombstone or nothing, but never another record.
 func (o *Owner) insert(from prim.HostName, r record, now time.Time) error {
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -29,6 +29,7 @@
 	Removed  []int
 	Stops    []int // planned stops with hand-over, by host; 0 is none
 	Restarts []int
+	Parted   []int // from when an ingress node (by place) cannot reach a host; 0 is never
 	Faults   []fault
 	Keys     []keyUse
 }
@@ -75,6 +76,7 @@
 		Removed:  rapid.SliceOfN(change, 0, 2).Draw(t, "removed"),
 		Stops:    rapid.SliceOfN(event, 2, 2).Draw(t, "stops"),
 		Restarts: rapid.SliceOfN(event, 3, 3).Draw(t, "restarts"),
+		Parted:   rapid.SliceOfN(rapid.SampledFrom([]int{0, 0, 1, 20, 300}), 9, 9).Draw(t, "parted"),
 		Faults:   rapid.SliceOfN(faults, 1, 12).Draw(t, "faults"),
 		Keys: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) keyUse {
 			return keyUse{
@@ -121,6 +123,13 @@
 	for i, at := range s.Removed {
 		w.hosts[prim.HostName("ab"[i:i+1])].until = after(at)
 	}
+	w.parted = func(ingress, h prim.HostName) bool {
+		if len(h) > 1 {
+			return false
+		}
+		from := s.Parted[3*int(ingress[1]-'0')+int(h[0]-'a')]
+		return from > 0 && !time.Now().Before(after(from))
+	}
 	// The oldest list that a node may use, by its own clock.
 	for i, n := range []prim.HostName{"x0", "x1", "x2", "a", "added0"} {
 		if w.lags[n] = time.Duration(s.Lags[i]) * unit; s.Lags[i] > 12 {
@@ -133,14 +142,25 @@
 		if at == 0 {
 			continue
 		}
+		h := prim.HostName("abc"[i%3 : i%3+1])
+		m := w.hosts[h]
+		if i >= 3 {
+			w.mu.Lock()
+			if at%4 > 0 { // else a planned restart
+				m.leaving = after(at)
+			}
+			if at%4 > 1 && m.until.IsZero() {
+				m.until = after(at + 16)
+			}
+			w.mu.Unlock()
+			at += at % 8 // when it learns that it leaves
+		}
 		wg.Go(func() {
-			h := prim.HostName("abc"[i%3 : i%3+1])
 			time.Sleep(time.Until(after(at)))
 			if i < 3 {
 				w.start(h, time.Now())
 				return
 			}
-			m := w.hosts[h]
 			w.mu.Lock()
 			owner, instance := m.owner, m.instance
 			w.mu.Unlock()
@@ -281,7 +301,7 @@
 }
 
 // Guards against records that are lost in a planned stop, and against keys that
-// end as Unknown although the stopped host left its tombstone.
+// end as Unknown although the stopped host left its tombstone or retired.
 func TestPlannedStop(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -295,7 +315,7 @@
 			passed.Key += "l"
 		}
 		w.faults = []fault{{}, {Busy: true}}
-		_, err = (&remote{w, first}).Dispatch(t.Context(), passed)
+		_, err = w.Owner(first).Dispatch(t.Context(), passed)
 		is.Equal(err.(*prim.Refusal).Reason, prim.ReasonTombstone)
 		w.faults = nil
 
@@ -306,6 +326,9 @@
 		w.faults = []fault{{Work: time.Second}}
 		go w.walker("x").Do(t.Context(), slow)
 		time.Sleep(time.Millisecond)
+		w.mu.Lock()
+		w.hosts[first].leaving = time.Now()
+		w.mu.Unlock()
 		is.NoErr(w.hosts[first].owner.HandOver(t.Context()))
 		w.hosts[first].down = true
 		_, err = w.hosts[first].owner.Dispatch(t.Context(), request("n", time.Now(), time.Second))
@@ -320,6 +343,14 @@
 		_, err = w.walker("y").Do(t.Context(), passed)
 		is.NoErr(err)
 		is.Equal(w.runs[passed.Key], 1)
+
+		w.hosts[first].until = time.Now()
+		later := request("o", time.Now(), 10*time.Second)
+		for w.candidates(later)[0] != first {
+			later.Key += "o"
+		}
+		_, err = w.walker("y").Do(t.Context(), later)
+		is.NoErr(err)
 	})
 }
 
@@ -337,7 +368,7 @@
 		is.NoErr(err)
 		w.faults = []fault{{}, {Busy: true}}
 		for _, h := range w.candidates(passed)[:2] {
-			(&remote{w, h}).Dispatch(t.Context(), passed)
+			w.Owner(h).Dispatch(t.Context(), passed)
 		}
 		w.faults = nil
 		w.start(w.candidates(ran)[0], time.Now())
--- a/once/owner.go
+++ b/once/owner.go
@@ -36,6 +36,9 @@
 	mu     sync.Mutex
 	table  *table
 	closed bool // records were handed over; nothing runs any more
+	// retired holds the hosts that promised to run no key any more, with the
+	// creation time from which their promise holds.
+	retired map[retiree]time.Time
 }
 
 // NewOwner returns an Owner and registers its handler with the transport.
@@ -46,7 +49,7 @@
 	if c.Bytes == 0 {
 		c.Bytes = MaxBytes
 	}
-	o := &Owner{config: c, table: newTable(c.Bytes)}
+	o := &Owner{config: c, table: newTable(c.Bytes), retired: make(map[retiree]time.Time)}
 	if c.Transport != nil {
 		c.Transport.Handle(KindRecordHandOver, o.accept)
 	}
@@ -120,11 +123,7 @@
 		return verdict{err: o.lose(errUndated)}
 	}
 	if r.Lookup {
-		no := o.refuse(prim.ReasonNoRecord)
-		if e != nil {
-			no.Host = latest(hosts, e.others, no.Host)
-		}
-		return verdict{err: no}
+		return verdict{err: o.passed(hosts, r.KeyCreated, e)}
 	}
 	place := slices.IndexFunc(hosts, func(h *prim.Host) bool {
 		return h.Name == o.config.Host && h.State != prim.HostLost
@@ -140,7 +139,8 @@
 		}
 	}
 	e.digest, e.last = d, place == len(hosts)-1
-	if o.closed {
+	if o.closed || hosts[place].State != prim.HostLive || !v.HostsIssued().After(o.config.Started.Add(ClockMargin)) {
+		// An earlier instance may have retired.
 		return verdict{err: o.pass(e, o.refuse(prim.ReasonLeaving))}
 	}
 	e.state, e.over = running, make(chan struct{})
@@ -167,17 +167,6 @@
 	return verdict{answer: &a}
 }
 
-// latest returns the one of some hosts that comes last in the order, whose
-// tombstone implies those of all before it, or none if it knows none of them.
-func latest(hosts []*prim.Host, names []prim.HostName, none prim.HostName) prim.HostName {
-	for _, h := range slices.Backward(hosts) {
-		if slices.Contains(names, h.Name) {
-			return h.Name
-		}
-	}
-	return none
-}
-
 // forgotten reports whether an earlier instance may have had a record of the key.
 func (o *Owner) forgotten(created, now time.Time) bool {
 	if created.IsZero() {
--- a/once/walk.go
+++ b/once/walk.go
@@ -238,6 +238,10 @@
 			if j := slices.IndexFunc(k.hosts, func(o *prim.Host) bool { return o.Name == refusal.Host }); j >= 0 {
 				next = max(next, j+1)
 			}
+		case refusal.Reason == prim.ReasonLeaving && i == k.at+1 && refusal.Host == k.hosts[k.at].Name:
+			// The candidate at hand has retired, and its records for keys
+			// with this next candidate were handed over to it.
+			next = max(next, i)
 		default:
 			complete = complete && (refusal.Reason == prim.ReasonNoRecord || refusal.Reason == prim.ReasonForgotten)
 		}
