retry: a slow reservation is hedged instead of given up

Change: since a reservation never runs by itself, a second one is asked for at another host, paid from the retry budget, while the first keeps its place; the first slot granted is committed and the others are released. Hosts that keep requests waiting are passed over for a doubling time until they answer.

Not covered: a grant that arrives at the deadline, and an error of Reserve of an unknown kind.

--- a/retry/attempt.go
+++ b/retry/attempt.go
@@ -12,27 +12,24 @@
 )
 
 // An attempt hands a request to one owner. At this node's own host, and for
-// idempotent requests anywhere, that takes one step. A request that is not
-// idempotent reserves a slot at another host first: up to the commit the request
-// cannot run, so a busy, slow or frozen owner costs time but no certainty.
+// idempotent requests anywhere, that takes one step; see reserve.go for the others.
 
-// attempt makes one attempt and reports it. It calls cancel when nothing of the
-// attempt is left, which for a streamed answer is when its Rest is closed.
+// attempt makes an attempt in one step and reports it. It calls cancel when
+// nothing of the attempt is left, which for a streamed answer is when its Rest is
+// closed.
 func (k *call) attempt(ctx context.Context, cancel context.CancelFunc, h *prim.Host) (*prim.Answer, error) {
+	owner := k.caller.config.Owners.Owner(h.Name)
+	return k.finish(ctx, cancel, h, time.Now(), func() (*prim.Answer, error) { return owner.Dispatch(ctx, k.request) })
+}
+
+// finish has an owner run the request and reports the end of the attempt.
+func (k *call) finish(ctx context.Context, cancel context.CancelFunc, h *prim.Host, started time.Time, run func() (*prim.Answer, error)) (*prim.Answer, error) {
 	untrack := k.caller.Track(h.Name)
 	end := func() {
 		untrack()
 		cancel()
 	}
-	started := time.Now()
-	var a *prim.Answer
-	var err error
-	owner := k.caller.config.Owners.Owner(h.Name)
-	if k.request.Idempotent || h.Name == k.caller.config.Host {
-		a, err = owner.Dispatch(ctx, k.request)
-	} else {
-		a, err = k.twoStep(ctx, owner, h)
-	}
+	a, err := run()
 	var lost *prim.Lost
 	if errors.As(err, &lost) {
 		// The text of the cause alone: a refusal among the causes would make
@@ -77,39 +74,6 @@
 	return err
 }
 
-// twoStep reserves and commits. Whatever ends the reservation, the request did
-// not run.
-func (k *call) twoStep(ctx context.Context, owner prim.Owner, h *prim.Host) (*prim.Answer, error) {
-	reserving, cancel := context.WithCancel(ctx)
-	defer cancel()
-	giveUp := time.AfterFunc(k.reserveWait(h), cancel)
-	reservation, err := owner.Reserve(reserving, k.request)
-	slow := !giveUp.Stop()
-	if err != nil {
-		var refusal *prim.Refusal
-		if errors.As(err, &refusal) && !slow {
-			return nil, refusal
-		}
-		return nil, &prim.Refusal{Reason: prim.ReasonReservation, Host: h.Name}
-	}
-	if slow || ctx.Err() != nil {
-		reservation.Release()
-		return nil, &prim.Refusal{Reason: prim.ReasonReservation, Host: h.Name}
-	}
-	return reservation.Commit(ctx)
-}
-
-// reserveWait returns how long a reservation may take. It grows with every
-// round in which all hosts refused: a request that was given up loses its place
-// in the owner's queue, which helps only while other owners may be faster.
-func (k *call) reserveWait(h *prim.Host) time.Duration {
-	cost, ok := k.caller.config.Costs[h.DataCentre]
-	if !ok {
-		cost = DefaultCost
-	}
-	return k.caller.config.ReserveWait<<min(k.rounds, 6) + 2*cost
-}
-
 // report tells the policy and members how an attempt ended.
 func (k *call) report(ctx context.Context, h prim.HostName, a *prim.Answer, err error, took time.Duration) {
 	c := &k.caller.config
@@ -118,14 +82,16 @@
 	var lost *prim.Lost
 	switch {
 	case err == nil:
+		k.caller.host(h).answered()
 		end.Failed = a.Status >= 500
 		if a.Sample.Host != "" {
 			c.Policy.Observe(a.Sample)
 		}
 	case errors.As(err, &refusal):
-		// A slow reservation counts as a failure, or a policy would return
-		// to a frozen owner with an old and good sample.
 		end.Failed = refusal.Reason == prim.ReasonUnreachable || refusal.Reason == prim.ReasonReservation
+		if !end.Failed {
+			k.caller.host(h).answered()
+		}
 		if refusal.Sample.Host != "" {
 			c.Policy.Observe(refusal.Sample)
 		}
--- a/retry/call.go
+++ b/retry/call.go
@@ -21,28 +21,6 @@
 	lost    error           // the first end that was Unknown
 }
 
-// doOnce runs a request that is not idempotent: one attempt at a time, and
-// another only after an attempt that did not run.
-func (k *call) doOnce(ctx, waiting context.Context) (*prim.Answer, error) {
-	for {
-		h, err := k.pick(waiting)
-		if err != nil {
-			return nil, k.end(err)
-		}
-		c, cancel := context.WithDeadline(ctx, k.request.Deadline)
-		a, err := k.attempt(c, cancel, h)
-		if err == nil {
-			return a, nil
-		}
-		if !k.retryable(h.Name, err) {
-			return nil, err
-		}
-		if err := k.again(waiting); err != nil {
-			return nil, k.end(err)
-		}
-	}
-}
-
 // running is an attempt that has not ended.
 type running struct {
 	host   prim.HostName
@@ -172,6 +150,11 @@
 	for _, a := range attempts {
 		exclude = append(exclude, a.host)
 	}
+	if checks >= impatience {
+		for _, a := range attempts {
+			k.caller.host(a.host).slow(time.Now())
+		}
+	}
 	h := k.choose(exclude)
 	switch {
 	case h == nil:
--- a/retry/choose.go
+++ b/retry/choose.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	prim "github.com/primrosethread/primrosethread"
 )
@@ -25,28 +26,31 @@
 func (k *call) choose(exclude []prim.HostName) *prim.Host {
 	c := &k.caller.config
 	all := c.Documents.View().InService(k.request.Service)
+	now := time.Now()
 	s := choices.Get().(*choice)
 	defer choices.Put(s)
 	s.hosts, s.candidates = s.hosts[:0], s.candidates[:0]
-	for _, h := range all {
-		if slices.Contains(exclude, h.Name) {
-			continue
-		}
-		if h.Name == c.Host && k.hasRoom(h) {
-			return h
-		}
-		if c.Members.Reachable(h.Name) {
-			s.hosts = append(s.hosts, h)
-		}
-	}
-	if len(s.hosts) == 0 {
-		// Members may be wrong. An attempt at a host that cannot be
-		// reached fails fast and costs the request less than no attempt.
+	// Members may be wrong and a slow host may recover. When no better host is
+	// left, an attempt at one of those costs the request less than none.
+	for _, good := range [...]func(h prim.HostName) bool{
+		func(h prim.HostName) bool { return c.Members.Reachable(h) && k.caller.host(h).usable(now) },
+		c.Members.Reachable,
+		func(prim.HostName) bool { return true },
+	} {
 		for _, h := range all {
-			if !slices.Contains(exclude, h.Name) {
+			if slices.Contains(exclude, h.Name) {
+				continue
+			}
+			if h.Name == c.Host && k.hasRoom(h) {
+				return h
+			}
+			if good(h.Name) {
 				s.hosts = append(s.hosts, h)
 			}
 		}
+		if len(s.hosts) > 0 {
+			break
+		}
 	}
 	if len(s.hosts) == 0 {
 		return nil
--- a/retry/fake_test.go
+++ b/retry/fake_test.go
@@ -15,9 +15,10 @@
 	Frozen    time.Duration // before it looks at the request
 	Refuse    prim.Reason
 	Work      time.Duration
-	LoseReply bool // runs, but the answer never arrives
-	Cut       bool // lost before it reaches the owner
-	Restart   bool // another instance answers the commit
+	Queue     time.Duration // until a reservation is granted
+	LoseReply bool          // runs, but the answer never arrives
+	Cut       bool          // lost before it reaches the owner
+	Restart   bool          // another instance answers the commit
 	Stream    bool
 }
 
@@ -27,6 +28,7 @@
 	scripts map[prim.HostName][]fault // used in turn, then from the start
 	down    map[prim.HostName]bool    // members' view
 	changed chan struct{}
+	stale   bool        // the policy always picks the first candidate
 	sample  prim.Sample // of the own host
 
 	mu                          sync.Mutex
@@ -73,7 +75,7 @@
 func (w *world) Pick(_ prim.Service, cs []prim.Candidate) int {
 	best := 0
 	for i, c := range cs {
-		if c.Pending < cs[best].Pending {
+		if !w.stale && c.Pending < cs[best].Pending {
 			best = i
 		}
 	}
@@ -163,6 +165,7 @@
 			return nil, errors.New("not cancelled")
 		}
 	}
+	sleep(ctx, f.Queue)
 	o.world.add(&o.world.reserved, 1)
 	return &reservation{o: o, r: r, f: f}, nil
 }
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -12,7 +12,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	prim "github.com/primrosethread/primrosethread"
@@ -52,9 +51,8 @@
 	// HedgeUnknown is the time after which an attempt is late while too few
 	// latencies of its class are known: 500 ms.
 	HedgeUnknown time.Duration
-	// ReserveWait is the time after which a reservation is given up, to which
-	// the round trip to the host is added: 50 ms, since the owner lets a
-	// reservation expire after that time anyway.
+	// ReserveWait is the time after which another host is asked for a
+	// reservation too, to which the round trip to the host is added: 50 ms.
 	ReserveWait time.Duration
 	// Queue bounds the requests of one service that wait for a retry: 1024.
 	Queue int
@@ -156,9 +154,6 @@
 	}
 }
 
-// hostState is what this node knows about its own traffic to a host.
-type hostState struct{ pending atomic.Int64 }
-
 func (c *Caller) host(h prim.HostName) *hostState {
 	if v, ok := c.hosts.Load(h); ok {
 		return v.(*hostState)
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -160,10 +160,39 @@
 		_, err = c.Do(t.Context(), request("/2", false, 5*time.Second))
 		is.NoErr(err)
 		is.Equal(time.Since(began), 50*time.Millisecond+2*DefaultCost+time.Millisecond)
+		synctest.Wait()
 		is.Equal(w.reserved, 0)
 	})
 }
 
+// Guards against a frozen owner that uses up the retry budget, and against
+// requests that leave the queues of busy owners when the budget is empty.
+func TestSlowReservations(t *testing.T) {
+	for _, slow := range []fault{{Frozen: time.Hour}, {Queue: 300 * time.Millisecond}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld("a", "b")
+			w.scripts["a"], w.stale = []fault{slow}, slow.Frozen > 0
+			if slow.Queue > 0 {
+				w.scripts["b"] = w.scripts["a"]
+			}
+			c := w.caller(Config{})
+			var wg sync.WaitGroup
+			for range 300 {
+				time.Sleep(5 * time.Millisecond)
+				wg.Go(func() {
+					_, err := c.Do(t.Context(), request("/", false, 500*time.Millisecond))
+					is.NoErr(err)
+				})
+			}
+			wg.Wait()
+			synctest.Wait()
+			is.True(w.attempts <= 300*1.2+12)
+			is.Equal(w.reserved, 0)
+		})
+	}
+}
+
 // Guards against hedges beyond their share, and against requests that stay with
 // a frozen owner when no hedge is left.
 func TestHedgeBudget(t *testing.T) {
