--- a/once/once_test.go
+++ b/once/once_test.go
@@ -235,6 +235,14 @@
 	return names
 }
 
+// begins lengthens the key of a request until its first candidate is h.
+func (w *world) begins(r *prim.Request, h prim.HostName) *prim.Request {
+	for w.candidates(r)[0] != h {
+		r.Key += r.Key[:1]
+	}
+	return r
+}
+
 // Guards against a second request that does not wait for the first one's answer,
 // against the loss of a record because its caller went away, against an answer
 // for other content, and against a lookup that runs the request.
@@ -310,19 +318,13 @@
 		_, err := w.walker("x").Do(t.Context(), r)
 		is.NoErr(err)
 		first := w.candidates(r)[0]
-		passed := request("l", time.Now(), 10*time.Second)
-		for w.candidates(passed)[0] != first {
-			passed.Key += "l"
-		}
+		passed := w.begins(request("l", time.Now(), 10*time.Second), first)
 		w.faults = []fault{{}, {Busy: true}}
 		_, err = w.Owner(first).Dispatch(t.Context(), passed)
 		is.Equal(err.(*prim.Refusal).Reason, prim.ReasonTombstone)
 		w.faults = nil
 
-		slow := request("m", time.Now(), 10*time.Second)
-		for w.candidates(slow)[0] != first {
-			slow.Key += "m"
-		}
+		slow := w.begins(request("m", time.Now(), 10*time.Second), first)
 		w.faults = []fault{{Work: time.Second}}
 		go w.walker("x").Do(t.Context(), slow)
 		time.Sleep(time.Millisecond)
@@ -345,11 +347,7 @@
 		is.Equal(w.runs[passed.Key], 1)
 
 		w.hosts[first].until = time.Now()
-		later := request("o", time.Now(), 10*time.Second)
-		for w.candidates(later)[0] != first {
-			later.Key += "o"
-		}
-		_, err = w.walker("y").Do(t.Context(), later)
+		_, err = w.walker("y").Do(t.Context(), w.begins(request("o", time.Now(), 10*time.Second), first))
 		is.NoErr(err)
 	})
 }
@@ -360,10 +358,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld("a", "b", "c")
-		ran, passed := request("k", time.Now(), 10*time.Second), request("l", time.Now(), 10*time.Second)
-		for w.candidates(passed)[0] != w.candidates(ran)[0] {
-			passed.Key += "l"
-		}
+		ran := request("k", time.Now(), 10*time.Second)
+		passed := w.begins(request("l", time.Now(), 10*time.Second), w.candidates(ran)[0])
 		_, err := w.walker("x").Do(t.Context(), ran)
 		is.NoErr(err)
 		w.faults = []fault{{}, {Busy: true}}
--- a/retry/fake_test.go
+++ b/retry/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,8 +23,13 @@
 	Stream    bool
 }
 
-// world is a service with fake owners, and the ports that show it.
+// world is a service with fake owners, and the ports that show it. The embedded
+// ports are nil: their other methods are not called.
 type world struct {
+	prim.Members
+	prim.Policy
+	prim.Recorder
+
 	view    *prim.View
 	scripts map[prim.HostName][]fault // used in turn, then from the start
 	down    map[prim.HostName]bool    // members' view
@@ -60,28 +66,24 @@
 	defer w.mu.Unlock()
 	return w.view
 }
-func (w *world) Changed() <-chan struct{}          { return w.changed }
-func (w *world) Reachable(h prim.HostName) bool    { return !w.down[h] }
-func (w *world) Failed(prim.HostName)              {}
-func (w *world) Seen(prim.HostName, prim.Instance) {}
-func (w *world) Observe(prim.Sample)               {}
+func (w *world) Changed() <-chan struct{}         { return w.changed }
+func (w *world) Reachable(h prim.HostName) bool   { return !w.down[h] }
+func (w *world) Failed(prim.HostName)             {}
+func (w *world) Observe(prim.Sample)              {}
+func (w *world) Finished(prim.Attempt)            {}
+func (w *world) Owner(h prim.HostName) prim.Owner { return &owner{w, h} }
 func (w *world) Count(n string, by int64) {
 	if n == "Hedges" {
 		w.add(&w.hedges, int(by))
 	}
 }
-func (w *world) Request(*prim.Request, prim.Outcome, int, time.Duration, time.Duration) {}
-func (w *world) Finished(prim.Attempt)                                                  {}
 func (w *world) Pick(_ prim.Service, cs []prim.Candidate) int {
-	best := 0
-	for i, c := range cs {
-		if !w.stale && c.Pending < cs[best].Pending {
-			best = i
-		}
+	if w.stale {
+		return 0
 	}
-	return best
+	least := slices.MinFunc(cs, func(a, b prim.Candidate) int { return a.Pending - b.Pending })
+	return slices.Index(cs, least)
 }
-func (w *world) Owner(h prim.HostName) prim.Owner { return &owner{w, h} }
 
 func (w *world) add(n *int, by int) {
 	w.mu.Lock()
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -40,10 +40,7 @@
 		calls := rapid.SliceOfN(rapid.Bool(), 1, 30).Draw(rt, "idempotent")
 		var problem error
 		synctest.Test(t, func(t *testing.T) {
-			var names []prim.HostName
-			for i := range scripts {
-				names = append(names, prim.HostName(fmt.Sprint("h", i)))
-			}
+			names := []prim.HostName{"h0", "h1", "h2", "h3"}[:len(scripts)]
 			w := newWorld(names...)
 			for i, s := range scripts {
 				w.scripts[names[i]] = s
@@ -51,23 +48,22 @@
 			c := w.caller(Config{Host: "h0", HedgeUnknown: 40 * time.Millisecond})
 			began := time.Now()
 			var wg sync.WaitGroup
-			var errs sync.Map
+			ends := make([]end, len(calls))
 			for i, idempotent := range calls {
 				wg.Go(func() {
 					time.Sleep(time.Duration(i) * 7 * time.Millisecond)
 					r := request(fmt.Sprint("/", i), idempotent, 2*time.Second)
 					a, err := c.Do(t.Context(), r)
-					errs.Store(r.Path, end{r, a, err, time.Now()})
+					ends[i] = end{r, a, err, time.Now()}
 				})
 			}
 			wg.Wait()
 			budget := float64(len(calls))*(1.2+0.05) + time.Since(began).Seconds() + 12
 			time.Sleep(10 * time.Second) // frozen owners wake up
 			synctest.Wait()
-			errs.Range(func(_, v any) bool {
-				problem = cmpErr(problem, check(w, v.(end)))
-				return true
-			})
+			for _, e := range ends {
+				problem = errors.Join(problem, e.check(w.runs[e.r.Path]))
+			}
 			if float64(w.attempts) > budget || w.reserved != 0 {
 				problem = fmt.Errorf("%d attempts of %.1f, %d reservations left", w.attempts, budget, w.reserved)
 			}
@@ -85,26 +81,15 @@
 	at  time.Time
 }
 
-func cmpErr(a, b error) error {
-	if a != nil {
-		return a
-	}
-	return b
-}
-
-func check(w *world, e end) error {
-	runs := w.runs[e.r.Path]
-	outcome := prim.OutcomeOf(e.err)
-	early := e.at.Before(e.r.Deadline)
+func (e end) check(runs int) error {
+	outcome, early := prim.OutcomeOf(e.err), e.at.Before(e.r.Deadline)
 	switch {
-	case runs > 1 && !e.r.Idempotent:
-		return fmt.Errorf("%s ran %d times", e.r.Path, runs)
-	case outcome == prim.NotRun && runs > 0:
-		return fmt.Errorf("%s is NotRun and ran: %v", e.r.Path, e.err)
-	case outcome == prim.Done && string(e.a.Body) != e.r.Path:
-		return fmt.Errorf("%s got the answer of %s", e.r.Path, e.a.Body)
-	case early && outcome == prim.NotRun, early && e.r.Idempotent && e.err != nil:
-		return fmt.Errorf("%s failed early: %v", e.r.Path, e.err)
+	case runs > 1 && !e.r.Idempotent,
+		outcome == prim.NotRun && runs > 0,
+		outcome == prim.Done && string(e.a.Body) != e.r.Path,
+		early && outcome == prim.NotRun,
+		early && e.r.Idempotent && e.err != nil:
+		return fmt.Errorf("%+v ran %d times, answer %v, error %v, early %v", e.r, runs, e.a, e.err, early)
 	}
 	return nil
 }
