bench: calls, and retry budgets in dispatch

Cause: the price of packages retry and once in processor time, and the size of the retry budget, have no figures.

Ruled out: Go benchmarks in the packages, which count as tests and cannot be run as one table.

Change: the subcommand calls; dispatch takes -share, -floor, -shedding (the cost of a refusal) and -modes.

--- /dev/null
+++ b/cmd/bench/calls.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/once"
+	"github.com/primrosethread/primrosethread/retry"
+)
+
+// calls measures the processor time that packages retry and once add to a call
+// whose owner answers at once, by the number of hosts of the service.
+func calls(_ context.Context, args []string) error {
+	f := flag.NewFlagSet("calls", flag.ContinueOnError)
+	body := f.Int("body", 200, "bytes of the request body")
+	if err := f.Parse(args); err != nil {
+		return err
+	}
+	fmt.Println("hosts  kind            ns/call  B/call  allocs/call")
+	for _, hosts := range []int{3, 20, 200} {
+		p := newInstant(hosts)
+		walker := once.NewWalker(once.WalkerConfig{Host: "ingress", Documents: p, Members: p, Policy: p, Owners: p})
+		caller := retry.New(retry.Config{Host: "ingress", Documents: p, Members: p, Policy: p, Owners: p, Keyed: walker})
+		for _, kind := range []string{"idempotent", "two-step", "keyed"} {
+			p.records = kind == "keyed"
+			n := 0
+			r := testing.Benchmark(func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					n++
+					r := &prim.Request{Service: "s", Class: "c", Method: "POST", Path: "/", Body: make([]byte, *body),
+						Idempotent: kind == "idempotent", Deadline: time.Now().Add(time.Second)}
+					if kind == "keyed" {
+						r.Key, r.KeyCreated = fmt.Sprint(n), time.Now()
+					}
+					if _, err := caller.Do(context.Background(), r); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+			fmt.Printf("%5d  %-12s %10d %7d %12d\n", hosts, kind, r.NsPerOp(), r.AllocedBytesPerOp(), r.AllocsPerOp())
+		}
+	}
+	return nil
+}
+
+// instant is a service whose owners answer at once, and its ports. Only its
+// first host is picked for requests without a key.
+type instant struct {
+	prim.Members
+	prim.Policy
+	view    *prim.View
+	owners  map[prim.HostName]*once.Owner
+	records bool
+}
+
+func newInstant(hosts int) *instant {
+	p := &instant{owners: make(map[prim.HostName]*once.Owner)}
+	since := time.Now().Add(-24 * time.Hour)
+	var list []prim.Host
+	for i := range hosts {
+		h := prim.HostName(fmt.Sprint("h", i))
+		list = append(list, prim.Host{Name: h, Service: "s", State: prim.HostLive, Since: since})
+		// The bound is high so that a long run does not reach it.
+		p.owners[h] = once.NewOwner(once.OwnerConfig{Host: h, Next: instantOwner{}, Documents: p, Started: since, Bytes: 8 << 30})
+	}
+	p.view = prim.NewView(prim.ViewConfig{
+		Digests: map[string]prim.Digest{prim.NameHosts: {Issued: time.Now()}},
+		Hosts:   prim.Hosts{Services: []prim.ServiceEntry{{Name: "s", Since: since}}, Hosts: list},
+	})
+	return p
+}
+
+func (p *instant) View() *prim.View                        { return p.view }
+func (p *instant) Changed() <-chan struct{}                { return nil }
+func (p *instant) Reachable(prim.HostName) bool            { return true }
+func (p *instant) Pick(prim.Service, []prim.Candidate) int { return 0 }
+func (p *instant) Observe(prim.Sample)                     {}
+func (p *instant) Finished(prim.Attempt)                   {}
+func (p *instant) Owner(h prim.HostName) prim.Owner {
+	if p.records {
+		return p.owners[h]
+	}
+	return instantOwner{}
+}
+
+// instantOwner answers at once. It is its own reservation.
+type instantOwner struct{}
+
+var instantAnswer = prim.Answer{Status: 200, Body: make([]byte, 200)}
+
+func (instantOwner) Sample() prim.Sample { return prim.Sample{} }
+
+func (instantOwner) Dispatch(context.Context, *prim.Request) (*prim.Answer, error) {
+	return &instantAnswer, nil
+}
+
+func (o instantOwner) Reserve(context.Context, *prim.Request) (prim.Reservation, error) {
+	return o, nil
+}
+
+func (instantOwner) Commit(context.Context) (*prim.Answer, error) { return &instantAnswer, nil }
+
+func (instantOwner) Release() {}
--- a/cmd/bench/dispatch.go
+++ b/cmd/bench/dispatch.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,6 +40,10 @@
 	f.DurationVar(&c.cut, "cut", 200*time.Millisecond, "length of a link cut")
 	f.Float64Var(&c.lose, "lose", 0.005, "share of answers lost with their link, in the scenario lost")
 	f.DurationVar(&c.hold, "hold", 50*time.Millisecond, "time that an ingress node waits for a reservation, without the round trip")
+	f.Float64Var(&c.share, "share", 0.2, "retry budget, as a share of first attempts")
+	f.Float64Var(&c.floor, "floor", 1, "retries a second that the budget allows besides")
+	f.Float64Var(&c.shedding, "shedding", 0, "cost of a refusal at the owner, as a share of the mean service time")
+	modes := f.String("modes", "one,two,keyed", "ways of dispatch to run")
 	only := f.String("fault", "", "run only this scenario: none, freeze, cut, lost")
 	if err := f.Parse(args); err != nil {
 		return err
@@ -46,7 +51,7 @@
 	fmt.Printf("%+v\n", c)
 	fmt.Println("fault   mode  requests   done  notrun  unknown  unknown%  runs>1  attempts/req      p50      p99    p99.9")
 	for _, fault := range []string{"none", "freeze", "cut", "lost"} {
-		for _, mode := range []string{"one", "two", "keyed"} {
+		for mode := range strings.SplitSeq(*modes, ",") {
 			if *only != "" && *only != fault {
 				continue
 			}
@@ -61,7 +66,7 @@
 type dispatchConfig struct {
 	hosts, slots                                             int
 	work, oneWay, length, timeout, every, freeze, cut, avoid time.Duration
-	load, lose                                               float64
+	load, lose, share, floor, shedding                       float64
 	hold                                                     time.Duration
 }
 
@@ -153,6 +158,7 @@
 	})
 	s.caller = retry.New(retry.Config{
 		Host: "ingress", Costs: map[prim.DataCentre]time.Duration{"": c.oneWay}, ReserveWait: c.hold,
+		RetryShare: c.share, RetryFloor: c.floor,
 		Documents: s, Members: s, Policy: s, Owners: s, Keyed: walker,
 	})
 	return s
@@ -240,6 +246,12 @@
 func (h *simulatedHost) admit(ctx context.Context) error {
 	if h.queued.Add(1) > int64(2*h.s.slots) {
 		h.queued.Add(-1)
+		if h.s.shedding > 0 {
+			// A refusal keeps a slot from work for a while.
+			h.slots <- struct{}{}
+			time.Sleep(time.Duration(h.s.shedding * float64(h.s.work)))
+			<-h.slots
+		}
 		return h.refuse(prim.ReasonBusy)
 	}
 	defer h.queued.Add(-1)
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -12,6 +12,7 @@
 
 // commands maps the name of a subcommand to its function.
 var commands = map[string]func(ctx context.Context, args []string) error{
+	"calls":    calls,
 	"dispatch": dispatch,
 }
 
