bench: reservations beyond the slots of an owner

Cause: two steps lose capacity across data centres, because a reserved slot is idle for the round trip up to the commit.

Ruled out: one step to hosts that answered recently, which leaves queueing in the phase that ends as Unknown; it is not measured.

Change: dispatch -overbook lets the simulated owner grant some reservations more than it has slots; a commit then waits for a slot.

--- a/cmd/bench/dispatch.go
+++ b/cmd/bench/dispatch.go
@@ -29,6 +29,7 @@
 	f := flag.NewFlagSet("dispatch", flag.ContinueOnError)
 	f.IntVar(&c.hosts, "hosts", 3, "hosts of the service")
 	f.IntVar(&c.slots, "slots", 8, "slots of a server")
+	f.IntVar(&c.overbook, "overbook", 0, "reservations that an owner grants beyond its slots; a commit waits for a slot")
 	f.DurationVar(&c.work, "work", 20*time.Millisecond, "mean of the exponential service time")
 	f.DurationVar(&c.oneWay, "oneway", 3*time.Millisecond, "one-way delay of a link")
 	f.Float64Var(&c.load, "load", 0.5, "offered load as a share of the slots")
@@ -64,7 +65,7 @@
 }
 
 type dispatchConfig struct {
-	hosts, slots                                             int
+	hosts, slots, overbook                                   int
 	work, oneWay, length, timeout, every, freeze, cut, avoid time.Duration
 	load, lose, share, floor, shedding                       float64
 	hold                                                     time.Duration
@@ -142,7 +143,7 @@
 	for i := range c.hosts {
 		name := prim.HostName(fmt.Sprint("h", i))
 		list = append(list, prim.Host{Name: name, Service: "s", State: prim.HostLive, Since: since})
-		h := &simulatedHost{s: s, name: name, slots: make(chan struct{}, c.slots), broken: make(chan struct{})}
+		h := &simulatedHost{s: s, name: name, places: make(chan struct{}, c.slots+c.overbook), slots: make(chan struct{}, c.slots), broken: make(chan struct{})}
 		h.owner = once.NewOwner(once.OwnerConfig{Host: name, Next: h, Documents: s, Started: since})
 		s.hosts[name] = h
 		s.names = append(s.names, name)
@@ -227,6 +228,7 @@
 	s      *simulation
 	name   prim.HostName
 	owner  prim.Owner
+	places chan struct{} // slots and overbooked reservations
 	slots  chan struct{}
 	queued atomic.Int64
 	// Both are times in Unix nanoseconds.
@@ -256,7 +258,7 @@
 	}
 	defer h.queued.Add(-1)
 	select {
-	case h.slots <- struct{}{}:
+	case h.places <- struct{}{}:
 		return nil
 	case <-ctx.Done():
 		return h.refuse(prim.ReasonExpired)
@@ -264,6 +266,8 @@
 }
 
 func (h *simulatedHost) serve(r *prim.Request) (*prim.Answer, error) {
+	defer func() { <-h.places }()
+	h.slots <- struct{}{}
 	defer func() { <-h.slots }()
 	h.thaw()
 	if !time.Now().Before(r.Deadline) {
@@ -312,7 +316,7 @@
 func (v *simulatedReservation) Release() {
 	if !v.used.Swap(true) {
 		v.expiry.Stop()
-		<-v.h.slots
+		<-v.h.places
 	}
 }
 
--- a/once/owner.go
+++ b/once/owner.go
@@ -69,6 +69,8 @@
 }
 
 // Dispatch runs a request unless its key has a record, which it returns instead.
+// A lookup must carry the method, path and body of the request that it is about,
+// since the digest of a record is checked for it too.
 func (o *Owner) Dispatch(ctx context.Context, r *prim.Request) (*prim.Answer, error) {
 	if !r.Lookup && (r.Key == "" || r.Idempotent) {
 		return o.config.Next.Dispatch(ctx, r)
--- a/retry/reserve.go
+++ b/retry/reserve.go
@@ -40,7 +40,8 @@
 }
 
 // ask asks a host for a reservation. One that is granted after its hold was
-// cancelled is released.
+// cancelled is released. The context of Reserve stays alive until the commit has
+// ended, in case a reservation depends on it.
 func (s *holds) ask(h *prim.Host) {
 	ctx, cancel := context.WithCancel(s.waiting)
 	untrack := s.call.caller.Track(h.Name)
