--- a/cmd/bench/capacity.go
+++ b/cmd/bench/capacity.go
@@ -22,6 +22,9 @@
 // clockTicks is the unit of processor times in /proc, in ticks a second.
 const clockTicks = 100
 
+// startTimeout bounds the start of a fleet.
+const startTimeout = time.Minute
+
 // usage is what one node has used.
 type usage struct {
 	processor time.Duration
@@ -60,7 +63,9 @@
 	}
 	defer os.RemoveAll(folder)
 	c := capacityFleet(bin, folder, n, customers)
-	f, err := fleet.Start(ctx, c)
+	starting, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	f, err := fleet.Start(starting, c)
 	if err != nil {
 		return err
 	}
@@ -192,7 +197,7 @@
 
 // platformReads returns how many calls the platform has answered.
 func platformReads(ctx context.Context, f *fleet.Fleet) (int64, error) {
-	b, err := fleet.Get(ctx, address(f.Platform)+"/counts")
+	b, err := fleet.Get(ctx, address(f.Platforms[0])+"/counts")
 	if err != nil {
 		return 0, err
 	}
--- a/cmd/bench/dispatch.go
+++ b/cmd/bench/dispatch.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,7 @@
 	f := flag.NewFlagSet("dispatch", flag.ContinueOnError)
 	f.IntVar(&c.hosts, "hosts", 3, "hosts of the service")
 	f.IntVar(&c.slots, "slots", 8, "slots of a server")
+	f.IntVar(&c.overbook, "overbook", 0, "reservations that an owner grants beyond its slots; a commit waits for a slot")
 	f.DurationVar(&c.work, "work", 20*time.Millisecond, "mean of the exponential service time")
 	f.DurationVar(&c.oneWay, "oneway", 3*time.Millisecond, "one-way delay of a link")
 	f.Float64Var(&c.load, "load", 0.5, "offered load as a share of the slots")
@@ -39,6 +41,10 @@
 	f.DurationVar(&c.cut, "cut", 200*time.Millisecond, "length of a link cut")
 	f.Float64Var(&c.lose, "lose", 0.005, "share of answers lost with their link, in the scenario lost")
 	f.DurationVar(&c.hold, "hold", 50*time.Millisecond, "time that an ingress node waits for a reservation, without the round trip")
+	f.Float64Var(&c.share, "share", 0.2, "retry budget, as a share of first attempts")
+	f.Float64Var(&c.floor, "floor", 1, "retries a second that the budget allows besides")
+	f.Float64Var(&c.shedding, "shedding", 0, "cost of a refusal at the owner, as a share of the mean service time")
+	modes := f.String("modes", "one,two,keyed", "ways of dispatch to run")
 	only := f.String("fault", "", "run only this scenario: none, freeze, cut, lost")
 	if err := f.Parse(args); err != nil {
 		return err
@@ -46,7 +52,7 @@
 	fmt.Printf("%+v\n", c)
 	fmt.Println("fault   mode  requests   done  notrun  unknown  unknown%  runs>1  attempts/req      p50      p99    p99.9")
 	for _, fault := range []string{"none", "freeze", "cut", "lost"} {
-		for _, mode := range []string{"one", "two", "keyed"} {
+		for mode := range strings.SplitSeq(*modes, ",") {
 			if *only != "" && *only != fault {
 				continue
 			}
@@ -59,9 +65,9 @@
 }
 
 type dispatchConfig struct {
-	hosts, slots                                             int
+	hosts, slots, overbook                                   int
 	work, oneWay, length, timeout, every, freeze, cut, avoid time.Duration
-	load, lose                                               float64
+	load, lose, share, floor, shedding                       float64
 	hold                                                     time.Duration
 }
 
@@ -137,7 +143,7 @@
 	for i := range c.hosts {
 		name := prim.HostName(fmt.Sprint("h", i))
 		list = append(list, prim.Host{Name: name, Service: "s", State: prim.HostLive, Since: since})
-		h := &simulatedHost{s: s, name: name, slots: make(chan struct{}, c.slots), broken: make(chan struct{})}
+		h := &simulatedHost{s: s, name: name, places: make(chan struct{}, c.slots+c.overbook), slots: make(chan struct{}, c.slots), broken: make(chan struct{})}
 		h.owner = once.NewOwner(once.OwnerConfig{Host: name, Next: h, Documents: s, Started: since})
 		s.hosts[name] = h
 		s.names = append(s.names, name)
@@ -153,6 +159,7 @@
 	})
 	s.caller = retry.New(retry.Config{
 		Host: "ingress", Costs: map[prim.DataCentre]time.Duration{"": c.oneWay}, ReserveWait: c.hold,
+		RetryShare: c.share, RetryFloor: c.floor,
 		Documents: s, Members: s, Policy: s, Owners: s, Keyed: walker,
 	})
 	return s
@@ -221,6 +228,7 @@
 	s      *simulation
 	name   prim.HostName
 	owner  prim.Owner
+	places chan struct{} // slots and overbooked reservations
 	slots  chan struct{}
 	queued atomic.Int64
 	// Both are times in Unix nanoseconds.
@@ -240,11 +248,17 @@
 func (h *simulatedHost) admit(ctx context.Context) error {
 	if h.queued.Add(1) > int64(2*h.s.slots) {
 		h.queued.Add(-1)
+		if h.s.shedding > 0 {
+			// A refusal keeps a slot from work for a while.
+			h.slots <- struct{}{}
+			time.Sleep(time.Duration(h.s.shedding * float64(h.s.work)))
+			<-h.slots
+		}
 		return h.refuse(prim.ReasonBusy)
 	}
 	defer h.queued.Add(-1)
 	select {
-	case h.slots <- struct{}{}:
+	case h.places <- struct{}{}:
 		return nil
 	case <-ctx.Done():
 		return h.refuse(prim.ReasonExpired)
@@ -252,6 +266,8 @@
 }
 
 func (h *simulatedHost) serve(r *prim.Request) (*prim.Answer, error) {
+	defer func() { <-h.places }()
+	h.slots <- struct{}{}
 	defer func() { <-h.slots }()
 	h.thaw()
 	if !time.Now().Before(r.Deadline) {
@@ -300,7 +316,7 @@
 func (v *simulatedReservation) Release() {
 	if !v.used.Swap(true) {
 		v.expiry.Stop()
-		<-v.h.slots
+		<-v.h.places
 	}
 }
 
--- a/cmd/bench/latency.go
+++ b/cmd/bench/latency.go
@@ -61,7 +61,9 @@
 		return err
 	}
 	defer os.RemoveAll(folder)
-	f, err := fleet.Start(ctx, latencyFleet(*bin, folder, *service))
+	starting, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	f, err := fleet.Start(starting, latencyFleet(*bin, folder, *service))
 	if err != nil {
 		return err
 	}
--- a/cmd/bench/spread.go
+++ b/cmd/bench/spread.go
@@ -45,7 +45,7 @@
 
 const (
 	callTimeout   = gossip.DefaultFetchTimeout
-	warmUp        = 15 * time.Second
+	spreadWarmUp  = 15 * time.Second
 	indexBytes    = 4*130 + 300 // an index or the fields of a document, with HTTP headers
 	bytesPerSlice = 12_500      // bytes of a body that pass in one millisecond
 )
@@ -73,26 +73,26 @@
 	reached []time.Time // by version
 }
 
-type event struct {
+type spreadEvent struct {
 	at  time.Time
 	seq int
 	do  func()
 }
 
-type events []event
+type spreadEvents []spreadEvent
 
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, j int) bool {
+func (q spreadEvents) Len() int { return len(q) }
+func (q spreadEvents) Less(i, j int) bool {
 	return cmp.Or(q[i].at.Compare(q[j].at), cmp.Compare(q[i].seq, q[j].seq)) < 0
 }
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *events) Pop() any     { e := (*q)[len(*q)-1]; *q = (*q)[:len(*q)-1]; return e }
+func (q spreadEvents) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *spreadEvents) Push(x any)   { *q = append(*q, x.(spreadEvent)) }
+func (q *spreadEvents) Pop() any     { e := (*q)[len(*q)-1]; *q = (*q)[:len(*q)-1]; return e }
 
-type fleet struct {
+type spreadFleet struct {
 	scenario
 	now      time.Time
-	queue    events
+	queue    spreadEvents
 	seq      int
 	r        *rand.Rand
 	stations []*station
@@ -106,8 +106,8 @@
 	view     *prim.View
 }
 
-func newFleet(s scenario) (*fleet, error) {
-	f := &fleet{scenario: s, now: time.Unix(1_800_000_000, 0).UTC(), r: rand.New(rand.NewPCG(s.seed, 1)),
+func newFleet(s scenario) (*spreadFleet, error) {
+	f := &spreadFleet{scenario: s, now: time.Unix(1_800_000_000, 0).UTC(), r: rand.New(rand.NewPCG(s.seed, 1)),
 		byName: map[prim.HostName]*station{}, current: map[string]prim.Document{}}
 	centres := 3
 	if s.nodes >= 1000 {
@@ -132,7 +132,7 @@
 
 // start creates the nodes with the first version of each document. They are
 // created in parallel because each sorts the host list.
-func (f *fleet) start(centres int) error {
+func (f *spreadFleet) start(centres int) error {
 	members := map[prim.DataCentre][]prim.HostName{}
 	for _, st := range f.stations {
 		members[st.host.DataCentre] = append(members[st.host.DataCentre], st.host.Name)
@@ -174,7 +174,7 @@
 	return errors.Join(errs...)
 }
 
-func (f *fleet) core(st *station, r *rand.Rand) (*gossip.Core, error) {
+func (f *spreadFleet) core(st *station, r *rand.Rand) (*gossip.Core, error) {
 	return gossip.NewCore(gossip.Config{
 		Self: st.host.Name, DataCentre: st.host.DataCentre, Rand: r, BodyRate: f.rate,
 		Seeds: []prim.HostName{"host-00000", "host-00001", "host-00002"},
@@ -189,7 +189,7 @@
 	return ds
 }
 
-func (f *fleet) publish(name string, size int) {
+func (f *spreadFleet) publish(name string, size int) {
 	f.previous = f.current
 	next := map[string]prim.Document{}
 	for n, d := range f.current {
@@ -202,22 +202,22 @@
 	f.current = next
 }
 
-func (f *fleet) after(d time.Duration, do func()) {
+func (f *spreadFleet) after(d time.Duration, do func()) {
 	f.seq++
-	heap.Push(&f.queue, event{f.now.Add(d), f.seq, do})
+	heap.Push(&f.queue, spreadEvent{f.now.Add(d), f.seq, do})
 }
 
 // run advances the clock until a time.
-func (f *fleet) run(until time.Time) {
+func (f *spreadFleet) run(until time.Time) {
 	for len(f.queue) > 0 && !f.queue[0].at.After(until) {
-		e := heap.Pop(&f.queue).(event)
+		e := heap.Pop(&f.queue).(spreadEvent)
 		f.now = e.at
 		e.do()
 	}
 	f.now = until
 }
 
-func (f *fleet) step(st *station) {
+func (f *spreadFleet) step(st *station) {
 	if st.dead || st.wake.After(f.now) {
 		return // woken earlier for another reason
 	}
@@ -226,7 +226,7 @@
 
 // done performs the actions of a node, notes the versions that it has reached,
 // and sets its next wake-up.
-func (f *fleet) done(st *station, as []gossip.Action) {
+func (f *spreadFleet) done(st *station, as []gossip.Action) {
 	for _, a := range as {
 		f.perform(st, a)
 	}
@@ -243,7 +243,7 @@
 	}
 }
 
-func (f *fleet) delay(a, b *station, size int) time.Duration {
+func (f *spreadFleet) delay(a, b *station, size int) time.Duration {
 	d := 5 * time.Millisecond
 	if a.host.DataCentre == b.host.DataCentre {
 		d = 250 * time.Microsecond
@@ -251,14 +251,14 @@
 	return d + time.Duration(f.r.Float64()*float64(d)) + time.Duration(size/bytesPerSlice)*time.Millisecond
 }
 
-func (f *fleet) count(st *station, n int) {
+func (f *spreadFleet) count(st *station, n int) {
 	if !f.measured.IsZero() {
 		st.bytes += n
 	}
 }
 
 // send passes a message to another node and calls arrived if it arrives.
-func (f *fleet) send(from, to *station, m prim.Message, arrived func()) bool {
+func (f *spreadFleet) send(from, to *station, m prim.Message, arrived func()) bool {
 	size := len(m.Body) + gossip.FrameOverhead
 	f.count(from, size)
 	if to == nil || to.dead || from.side != to.side || f.r.Float64() < f.loss {
@@ -273,7 +273,7 @@
 	return true
 }
 
-func (f *fleet) perform(st *station, a gossip.Action) {
+func (f *spreadFleet) perform(st *station, a gossip.Action) {
 	switch a.Kind {
 	case gossip.Tell:
 		to := f.byName[a.To]
@@ -303,7 +303,7 @@
 
 // platform answers a read. A stale platform is one of two replicas that answers
 // half of the reads from before the last change.
-func (f *fleet) platform(st *station, a gossip.Action) {
+func (f *spreadFleet) platform(st *station, a gossip.Action) {
 	if !f.measured.IsZero() {
 		second := int(f.now.Sub(f.measured) / time.Second)
 		for len(f.reads) <= second {
@@ -347,10 +347,10 @@
 
 // faults are set at the time of the first change. A function that they return
 // runs 20 s later.
-var faults = map[string]func(f *fleet) (later func()){
-	"none": func(*fleet) func() { return nil },
+var faults = map[string]func(f *spreadFleet) (later func()){
+	"none": func(*spreadFleet) func() { return nil },
 	// Every second node loses the other half and the platform, then it heals.
-	"partition": func(f *fleet) func() {
+	"partition": func(f *spreadFleet) func() {
 		for i, st := range f.stations {
 			if i%2 == 1 {
 				st.side, st.cut = 1, true
@@ -363,20 +363,20 @@
 		}
 	},
 	// The platform answers nothing after 1.5 s.
-	"down": func(f *fleet) func() {
+	"down": func(f *spreadFleet) func() {
 		f.after(1500*time.Millisecond, func() { f.down = true })
 		return nil
 	},
-	"stale": func(f *fleet) func() { f.stale = true; return nil },
+	"stale": func(f *spreadFleet) func() { f.stale = true; return nil },
 	// The oldest three nodes of each data centre of the fleet die.
-	"dead": func(f *fleet) func() {
+	"dead": func(f *spreadFleet) func() {
 		for _, st := range f.oldest() {
 			st.dead = true
 		}
 		return nil
 	},
 	// The oldest three nodes of each data centre lose only the platform.
-	"cut": func(f *fleet) func() {
+	"cut": func(f *spreadFleet) func() {
 		for _, st := range f.oldest() {
 			st.cut = true
 		}
@@ -384,7 +384,7 @@
 	},
 }
 
-func (f *fleet) oldest() []*station {
+func (f *spreadFleet) oldest() []*station {
 	seen := map[prim.DataCentre]int{}
 	var out []*station
 	for _, st := range f.stations {
@@ -396,7 +396,7 @@
 	return out
 }
 
-type result struct {
+type spreadResult struct {
 	last, healed    time.Duration // until the last node had a version, worst change
 	missing         int           // nodes without the last version at the end
 	reads, peak     float64       // platform reads a second
@@ -405,13 +405,13 @@
 	processed, took time.Duration
 }
 
-func measure(s scenario) (result, error) {
+func measure(s scenario) (spreadResult, error) {
 	started := time.Now()
 	f, err := newFleet(s)
 	if err != nil {
-		return result{}, err
+		return spreadResult{}, err
 	}
-	f.run(f.now.Add(warmUp + time.Duration(f.r.Float64()*float64(time.Second))))
+	f.run(f.now.Add(spreadWarmUp + time.Duration(f.r.Float64()*float64(time.Second))))
 	f.measured = f.now
 	begin := f.now
 	var published []time.Time
@@ -427,7 +427,7 @@
 		f.run(f.now.Add(s.every))
 	}
 	f.run(f.now.Add(30*time.Second - min(s.every, 30*time.Second)))
-	r := result{processed: f.now.Sub(begin)}
+	r := spreadResult{processed: f.now.Sub(begin)}
 	alive := 0
 	for _, st := range f.stations {
 		if st.dead {
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -21,16 +21,14 @@
 	return &prim.Request{Service: "s", Method: "POST", Path: "/deposits", Key: key, KeyCreated: created, Deadline: time.Now().Add(timeout)}
 }
 
-// scenario is generated. Its times are in units after the start.
+// scenario is generated. Its times are in units after the start; of some, 0 is never.
 type scenario struct {
-	Skew     int // of the platform's clock
-	Lags     []int
-	Added    []int // publication of further hosts
-	Removed  []int
-	Stops    []int // planned stops with hand-over, by host; 0 is none
-	Restarts []int
-	Faults   []fault
-	Keys     []keyUse
+	Skew                 int   // of the platform's clock
+	Lags, Added, Removed []int // of host lists and hosts
+	Stops, Restarts      []int // by host; a stop is planned, with a hand-over
+	Parted               []int // from when an ingress node cannot reach a host, by both
+	Faults               []fault
+	Keys                 []keyUse
 }
 
 type keyUse struct {
@@ -75,6 +73,7 @@
 		Removed:  rapid.SliceOfN(change, 0, 2).Draw(t, "removed"),
 		Stops:    rapid.SliceOfN(event, 2, 2).Draw(t, "stops"),
 		Restarts: rapid.SliceOfN(event, 3, 3).Draw(t, "restarts"),
+		Parted:   rapid.SliceOfN(rapid.SampledFrom([]int{0, 0, 1, 20, 300}), 9, 9).Draw(t, "parted"),
 		Faults:   rapid.SliceOfN(faults, 1, 12).Draw(t, "faults"),
 		Keys: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) keyUse {
 			return keyUse{
@@ -111,8 +110,7 @@
 	start := time.Now()
 	after := func(units int) time.Time { return start.Add(time.Duration(units) * unit) }
 	w := newWorld("a", "b", "c")
-	w.skew = time.Duration(s.Skew) * unit
-	w.faults = s.Faults
+	w.skew, w.faults = time.Duration(s.Skew)*unit, s.Faults
 	for i, at := range s.Added {
 		h := prim.HostName(fmt.Sprint("added", i))
 		w.hosts[h] = &machine{since: after(at)}
@@ -121,6 +119,10 @@
 	for i, at := range s.Removed {
 		w.hosts[prim.HostName("ab"[i:i+1])].until = after(at)
 	}
+	w.parted = func(ingress, h prim.HostName) bool {
+		i := 3*int(ingress[1]-'0') + int(h[0]-'a')
+		return len(h) == 1 && s.Parted[i] > 0 && !time.Now().Before(after(s.Parted[i]))
+	}
 	// The oldest list that a node may use, by its own clock.
 	for i, n := range []prim.HostName{"x0", "x1", "x2", "a", "added0"} {
 		if w.lags[n] = time.Duration(s.Lags[i]) * unit; s.Lags[i] > 12 {
@@ -133,14 +135,25 @@
 		if at == 0 {
 			continue
 		}
+		h := prim.HostName("abc"[i%3 : i%3+1])
+		m := w.hosts[h]
+		if i >= 3 {
+			w.mu.Lock()
+			if at%4 > 0 { // else a planned restart
+				m.leaving = after(at)
+			}
+			if at%4 > 1 && m.until.IsZero() {
+				m.until = after(at + 16)
+			}
+			w.mu.Unlock()
+			at += at % 8 // when it learns that it leaves
+		}
 		wg.Go(func() {
-			h := prim.HostName("abc"[i%3 : i%3+1])
 			time.Sleep(time.Until(after(at)))
 			if i < 3 {
 				w.start(h, time.Now())
 				return
 			}
-			m := w.hosts[h]
 			w.mu.Lock()
 			owner, instance := m.owner, m.instance
 			w.mu.Unlock()
@@ -152,7 +165,6 @@
 			w.mu.Unlock()
 		})
 	}
-	var mu sync.Mutex
 	var notRun []string
 	for i, k := range s.Keys {
 		first := k.Attempts[0].At
@@ -173,10 +185,8 @@
 				}
 				answer, err := w.walker(prim.HostName(fmt.Sprint("x", a.Ingress))).Do(ctx, r)
 				w.mu.Lock()
+				defer w.mu.Unlock()
 				runs := w.runs[r.Key]
-				w.mu.Unlock()
-				mu.Lock()
-				defer mu.Unlock()
 				switch {
 				case prim.OutcomeOf(err) == prim.NotRun:
 					notRun = append(notRun, r.Header.Get("Attempt"))
@@ -215,6 +225,14 @@
 	return names
 }
 
+// begins lengthens the key of a request until its first candidate is h.
+func (w *world) begins(r *prim.Request, h prim.HostName) *prim.Request {
+	for w.candidates(r)[0] != h {
+		r.Key += r.Key[:1]
+	}
+	return r
+}
+
 // Guards against a second request that does not wait for the first one's answer,
 // against the loss of a record because its caller went away, against an answer
 // for other content, and against a lookup that runs the request.
@@ -281,7 +299,7 @@
 }
 
 // Guards against records that are lost in a planned stop, and against keys that
-// end as Unknown although the stopped host left its tombstone.
+// end as Unknown although the stopped host left its tombstone or retired.
 func TestPlannedStop(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -290,22 +308,19 @@
 		_, err := w.walker("x").Do(t.Context(), r)
 		is.NoErr(err)
 		first := w.candidates(r)[0]
-		passed := request("l", time.Now(), 10*time.Second)
-		for w.candidates(passed)[0] != first {
-			passed.Key += "l"
-		}
+		passed := w.begins(request("l", time.Now(), 10*time.Second), first)
 		w.faults = []fault{{}, {Busy: true}}
-		_, err = (&remote{w, first}).Dispatch(t.Context(), passed)
+		_, err = w.Owner(first).Dispatch(t.Context(), passed)
 		is.Equal(err.(*prim.Refusal).Reason, prim.ReasonTombstone)
 		w.faults = nil
 
-		slow := request("m", time.Now(), 10*time.Second)
-		for w.candidates(slow)[0] != first {
-			slow.Key += "m"
-		}
+		slow := w.begins(request("m", time.Now(), 10*time.Second), first)
 		w.faults = []fault{{Work: time.Second}}
 		go w.walker("x").Do(t.Context(), slow)
 		time.Sleep(time.Millisecond)
+		w.mu.Lock()
+		w.hosts[first].leaving = time.Now()
+		w.mu.Unlock()
 		is.NoErr(w.hosts[first].owner.HandOver(t.Context()))
 		w.hosts[first].down = true
 		_, err = w.hosts[first].owner.Dispatch(t.Context(), request("n", time.Now(), time.Second))
@@ -320,6 +335,10 @@
 		_, err = w.walker("y").Do(t.Context(), passed)
 		is.NoErr(err)
 		is.Equal(w.runs[passed.Key], 1)
+
+		w.hosts[first].until = time.Now()
+		_, err = w.walker("y").Do(t.Context(), w.begins(request("o", time.Now(), 10*time.Second), first))
+		is.NoErr(err)
 	})
 }
 
@@ -329,15 +348,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld("a", "b", "c")
-		ran, passed := request("k", time.Now(), 10*time.Second), request("l", time.Now(), 10*time.Second)
-		for w.candidates(passed)[0] != w.candidates(ran)[0] {
-			passed.Key += "l"
-		}
+		ran := request("k", time.Now(), 10*time.Second)
+		passed := w.begins(request("l", time.Now(), 10*time.Second), w.candidates(ran)[0])
 		_, err := w.walker("x").Do(t.Context(), ran)
 		is.NoErr(err)
 		w.faults = []fault{{}, {Busy: true}}
 		for _, h := range w.candidates(passed)[:2] {
-			(&remote{w, h}).Dispatch(t.Context(), passed)
+			w.Owner(h).Dispatch(t.Context(), passed)
 		}
 		w.faults = nil
 		w.start(w.candidates(ran)[0], time.Now())
@@ -352,11 +369,8 @@
 // that exceed their bytes, or whose answers are dropped together with them.
 func TestBounds(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		steps := rapid.SliceOfN(rapid.IntRange(0, 4000), 1, 60).Draw(rt, "steps")
-		tb := newTable(20_000)
-		now := time.Unix(1e9, 0)
-		made := map[id]time.Time{}
-		for i, n := range steps {
+		tb, now, made := newTable(20_000), time.Unix(1e9, 0), map[id]time.Time{}
+		for i, n := range rapid.SliceOfN(rapid.IntRange(0, 4000), 1, 60).Draw(rt, "steps") {
 			now = now.Add(time.Duration(n) * time.Second / 4)
 			k := id{Key: fmt.Sprint(i)}
 			if e := tb.add(k, now, now); e != nil {
@@ -366,8 +380,7 @@
 				rt.Fatal("refused with room left")
 			}
 			for k, c := range made {
-				e, age := tb.find(k, now), now.Sub(c)
-				if e == nil && age <= KeyWindow || e != nil && age > KeyWindow+time.Minute {
+				if e, age := tb.find(k, now), now.Sub(c); e == nil && age <= KeyWindow || e != nil && age > KeyWindow+time.Minute {
 					rt.Fatalf("entry %v of age %v", e != nil, age)
 				}
 			}
--- a/retry/fake_test.go
+++ b/retry/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,18 +16,25 @@
 	Frozen    time.Duration // before it looks at the request
 	Refuse    prim.Reason
 	Work      time.Duration
-	LoseReply bool // runs, but the answer never arrives
-	Cut       bool // lost before it reaches the owner
-	Restart   bool // another instance answers the commit
+	Queue     time.Duration // until a reservation is granted
+	LoseReply bool          // runs, but the answer never arrives
+	Cut       bool          // lost before it reaches the owner
+	Restart   bool          // another instance answers the commit
 	Stream    bool
 }
 
-// world is a service with fake owners, and the ports that show it.
+// world is a service with fake owners, and the ports that show it. The embedded
+// ports are nil: their other methods are not called.
 type world struct {
+	prim.Members
+	prim.Policy
+	prim.Recorder
+
 	view    *prim.View
 	scripts map[prim.HostName][]fault // used in turn, then from the start
 	down    map[prim.HostName]bool    // members' view
 	changed chan struct{}
+	stale   bool        // the policy always picks the first candidate
 	sample  prim.Sample // of the own host
 
 	mu                          sync.Mutex
@@ -58,28 +66,24 @@
 	defer w.mu.Unlock()
 	return w.view
 }
-func (w *world) Changed() <-chan struct{}          { return w.changed }
-func (w *world) Reachable(h prim.HostName) bool    { return !w.down[h] }
-func (w *world) Failed(prim.HostName)              {}
-func (w *world) Seen(prim.HostName, prim.Instance) {}
-func (w *world) Observe(prim.Sample)               {}
+func (w *world) Changed() <-chan struct{}         { return w.changed }
+func (w *world) Reachable(h prim.HostName) bool   { return !w.down[h] }
+func (w *world) Failed(prim.HostName)             {}
+func (w *world) Observe(prim.Sample)              {}
+func (w *world) Finished(prim.Attempt)            {}
+func (w *world) Owner(h prim.HostName) prim.Owner { return &owner{w, h} }
 func (w *world) Count(n string, by int64) {
 	if n == "Hedges" {
 		w.add(&w.hedges, int(by))
 	}
 }
-func (w *world) Request(*prim.Request, prim.Outcome, int, time.Duration, time.Duration) {}
-func (w *world) Finished(prim.Attempt)                                                  {}
 func (w *world) Pick(_ prim.Service, cs []prim.Candidate) int {
-	best := 0
-	for i, c := range cs {
-		if c.Pending < cs[best].Pending {
-			best = i
-		}
+	if w.stale {
+		return 0
 	}
-	return best
+	least := slices.MinFunc(cs, func(a, b prim.Candidate) int { return a.Pending - b.Pending })
+	return slices.Index(cs, least)
 }
-func (w *world) Owner(h prim.HostName) prim.Owner { return &owner{w, h} }
 
 func (w *world) add(n *int, by int) {
 	w.mu.Lock()
@@ -163,6 +167,7 @@
 			return nil, errors.New("not cancelled")
 		}
 	}
+	sleep(ctx, f.Queue)
 	o.world.add(&o.world.reserved, 1)
 	return &reservation{o: o, r: r, f: f}, nil
 }
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -40,10 +40,7 @@
 		calls := rapid.SliceOfN(rapid.Bool(), 1, 30).Draw(rt, "idempotent")
 		var problem error
 		synctest.Test(t, func(t *testing.T) {
-			var names []prim.HostName
-			for i := range scripts {
-				names = append(names, prim.HostName(fmt.Sprint("h", i)))
-			}
+			names := []prim.HostName{"h0", "h1", "h2", "h3"}[:len(scripts)]
 			w := newWorld(names...)
 			for i, s := range scripts {
 				w.scripts[names[i]] = s
@@ -51,13 +48,13 @@
 			c := w.caller(Config{Host: "h0", HedgeUnknown: 40 * time.Millisecond})
 			began := time.Now()
 			var wg sync.WaitGroup
-			var errs sync.Map
+			ends := make([]end, len(calls))
 			for i, idempotent := range calls {
 				wg.Go(func() {
 					time.Sleep(time.Duration(i) * 7 * time.Millisecond)
 					r := request(fmt.Sprint("/", i), idempotent, 2*time.Second)
 					a, err := c.Do(t.Context(), r)
-					errs.Store(r.Path, end{r, a, err, time.Now()})
+					ends[i] = end{r, a, err, time.Now()}
 				})
 			}
 			wg.Wait()
@@ -68,10 +65,9 @@
 			budget := servers + n + 20*seconds + 50
 			time.Sleep(10 * time.Second) // frozen owners wake up
 			synctest.Wait()
-			errs.Range(func(_, v any) bool {
-				problem = cmpErr(problem, check(w, v.(end)))
-				return true
-			})
+			for _, e := range ends {
+				problem = errors.Join(problem, e.check(w.runs[e.r.Path]))
+			}
 			runs := 0
 			for _, n := range w.runs {
 				runs += n
@@ -94,26 +90,15 @@
 	at  time.Time
 }
 
-func cmpErr(a, b error) error {
-	if a != nil {
-		return a
-	}
-	return b
-}
-
-func check(w *world, e end) error {
-	runs := w.runs[e.r.Path]
-	outcome := prim.OutcomeOf(e.err)
-	early := e.at.Before(e.r.Deadline)
+func (e end) check(runs int) error {
+	outcome, early := prim.OutcomeOf(e.err), e.at.Before(e.r.Deadline)
 	switch {
-	case runs > 1 && !e.r.Idempotent:
-		return fmt.Errorf("%s ran %d times", e.r.Path, runs)
-	case outcome == prim.NotRun && runs > 0:
-		return fmt.Errorf("%s is NotRun and ran: %v", e.r.Path, e.err)
-	case outcome == prim.Done && string(e.a.Body) != e.r.Path:
-		return fmt.Errorf("%s got the answer of %s", e.r.Path, e.a.Body)
-	case early && outcome == prim.NotRun, early && e.r.Idempotent && e.err != nil:
-		return fmt.Errorf("%s failed early: %v", e.r.Path, e.err)
+	case runs > 1 && !e.r.Idempotent,
+		outcome == prim.NotRun && runs > 0,
+		outcome == prim.Done && string(e.a.Body) != e.r.Path,
+		early && outcome == prim.NotRun,
+		early && e.r.Idempotent && e.err != nil:
+		return fmt.Errorf("%+v ran %d times, answer %v, error %v, early %v", e.r, runs, e.a, e.err, early)
 	}
 	return nil
 }
@@ -192,10 +177,39 @@
 		_, err = c.Do(t.Context(), request("/2", false, 5*time.Second))
 		is.NoErr(err)
 		is.Equal(time.Since(began), 50*time.Millisecond+2*DefaultCost+time.Millisecond)
+		synctest.Wait()
 		is.Equal(w.reserved, 0)
 	})
 }
 
+// Guards against a frozen owner that uses up the retry budget, and against
+// requests that leave the queues of busy owners when the budget is empty.
+func TestSlowReservations(t *testing.T) {
+	for _, slow := range []fault{{Frozen: time.Hour}, {Queue: 300 * time.Millisecond}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld("a", "b")
+			w.scripts["a"], w.stale = []fault{slow}, slow.Frozen > 0
+			if slow.Queue > 0 {
+				w.scripts["b"] = w.scripts["a"]
+			}
+			c := w.caller(Config{})
+			var wg sync.WaitGroup
+			for range 300 {
+				time.Sleep(5 * time.Millisecond)
+				wg.Go(func() {
+					_, err := c.Do(t.Context(), request("/", false, 500*time.Millisecond))
+					is.NoErr(err)
+				})
+			}
+			wg.Wait()
+			synctest.Wait()
+			is.True(w.attempts <= 300*1.2+12)
+			is.Equal(w.reserved, 0)
+		})
+	}
+}
+
 // Guards against hedges beyond their share, and against requests that stay with
 // a frozen owner when no hedge is left.
 func TestHedgeBudget(t *testing.T) {
@@ -226,33 +240,28 @@
 func TestQueueOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		q := newQueue(10)
-		start := time.Unix(0, 0)
+		at := func(seconds int) time.Time { return time.Unix(int64(seconds), 0) }
+		deadlines := rapid.SliceOfNDistinct(rapid.IntRange(0, 99), 0, 12, rapid.ID).Draw(t, "deadlines")
 		var all []*waiter
-		for _, v := range rapid.SliceOfN(rapid.IntRange(0, 99), 0, 12).Draw(t, "waiters") {
-			w := &waiter{deadline: start.Add(time.Duration(v%10) * time.Second), after: start.Add(time.Duration(v/10) * time.Second), released: make(chan struct{})}
-			if q.push(w) {
-				all = append(all, w)
+		for _, d := range deadlines {
+			all = append(all, &waiter{deadline: at(d), after: at(d % 10), released: make(chan struct{})})
+			if !q.push(all[len(all)-1]) {
+				all = all[:10]
 			}
 		}
-		if len(all) > 10 {
-			t.Fatal("over the limit")
+		if q.len() > 10 || q.len() != len(all) {
+			t.Fatalf("%d of %d wait", q.len(), len(deadlines))
 		}
-		now := start.Add(time.Duration(rapid.IntRange(0, 10).Draw(t, "now")) * time.Second)
-		n := rapid.IntRange(0, 12).Draw(t, "tokens")
-		q.release(now, newBudget(0, 0, float64(n)))
-		var ready []*waiter
+		now, tokens := rapid.IntRange(0, 10).Draw(t, "now"), rapid.IntRange(0, 12).Draw(t, "tokens")
+		q.release(at(now), newBudget(0, 0, float64(tokens)))
+		slices.SortFunc(all, func(a, b *waiter) int { return a.deadline.Compare(b.deadline) })
 		for _, w := range all {
-			if !w.after.After(now) {
-				ready = append(ready, w)
-			} else if w.in == nil {
-				t.Fatal("released before its backoff has passed")
+			want := !w.after.After(at(now)) && tokens > 0
+			if want {
+				tokens--
 			}
-		}
-		slices.SortStableFunc(ready, func(a, b *waiter) int { return a.deadline.Compare(b.deadline) })
-		for i, w := range ready {
-			released := w.in == nil
-			if i < n && !released && w.deadline != ready[min(n, len(ready))-1].deadline || i >= n && released && w.deadline != ready[n-1].deadline {
-				t.Fatalf("waiter %d of %d with %d tokens: released %v", i, len(ready), n, released)
+			if released := w.in == nil; released != want {
+				t.Fatalf("deadline %v: released is %v", w.deadline, released)
 			}
 		}
 	})
