once: start margin of two seconds for keyed requests

An owner runs keys only with a host list issued ClockMargin (1 min) after its own start, so a fleet that starts as a whole refused them for a minute. Ruled out: a smaller ClockMargin for membership, which also covers differences between the platform's replicas. Change: the condition uses KeyMargin (2 s), the bound that clocks keep anyway for keys; bench capacity publishes an empty list of routes, which it left out.

--- a/cmd/bench/capacity.go
+++ b/cmd/bench/capacity.go
@@ -136,6 +136,7 @@
 		plan.Allowances = append(plan.Allowances, prim.Allowance{Service: s.Name, Rate: 100, Burst: 100})
 	}
 	c.Allowances.Plans = []prim.Plan{plan}
+	c.Allowances.Routes = []prim.Route{} // null would be refused
 	for i := range customers {
 		name := fmt.Sprintf("c%d", i)
 		c.Plans.Customers = append(c.Plans.Customers, prim.CustomerEntry{
--- a/once/owner.go
+++ b/once/owner.go
@@ -141,7 +141,7 @@
 		}
 	}
 	e.digest, e.last = d, place == len(hosts)-1
-	if o.closed || hosts[place].State != prim.HostLive || !v.HostsIssued().After(o.config.Started.Add(ClockMargin)) {
+	if o.closed || hosts[place].State != prim.HostLive || !v.HostsIssued().After(o.config.Started.Add(KeyMargin)) {
 		// An earlier instance may have retired.
 		return verdict{err: o.pass(e, o.refuse(prim.ReasonLeaving))}
 	}
