--- a/cmd/bench/dispatch.go
+++ b/cmd/bench/dispatch.go
@@ -121,6 +121,9 @@
 	fmt.Printf("%-7s %-5s %8d %6d %7d %8d %8.3f%% %7d %13.2f %8s %8s %8s\n", fault, mode, requests,
 		outcomes[prim.Done], outcomes[prim.NotRun], outcomes[prim.Unknown], 100*float64(outcomes[prim.Unknown])/float64(requests),
 		twice, float64(s.attempts.Load())/float64(requests), quantile(50), quantile(99), quantile(99.9))
+	if twice > 0 {
+		return fmt.Errorf("%d requests ran more than once in mode %s with fault %s", twice, mode, fault)
+	}
 	return nil
 }
 
@@ -294,28 +297,25 @@
 		return nil, err
 	}
 	v := &simulatedReservation{h: h, r: r}
-	v.expiry = time.AfterFunc(50*time.Millisecond, v.Release)
+	time.AfterFunc(50*time.Millisecond, v.Release) // does nothing after Commit
 	return v, nil
 }
 
 type simulatedReservation struct {
-	h      *simulatedHost
-	r      *prim.Request
-	expiry *time.Timer
-	used   atomic.Bool
+	h    *simulatedHost
+	r    *prim.Request
+	used atomic.Bool
 }
 
 func (v *simulatedReservation) Commit(context.Context) (*prim.Answer, error) {
 	if v.used.Swap(true) {
 		return nil, v.h.refuse(prim.ReasonReservation)
 	}
-	v.expiry.Stop()
 	return v.h.serve(v.r)
 }
 
 func (v *simulatedReservation) Release() {
 	if !v.used.Swap(true) {
-		v.expiry.Stop()
 		<-v.h.places
 	}
 }
--- a/retry/attempt.go
+++ b/retry/attempt.go
@@ -82,7 +82,7 @@
 	var lost *prim.Lost
 	switch {
 	case err == nil:
-		k.caller.host(h).answered()
+		k.caller.host(h).answered(time.Now())
 		end.Failed = a.Status >= 500
 		if a.Sample.Host != "" {
 			c.Policy.Observe(a.Sample)
@@ -90,7 +90,7 @@
 	case errors.As(err, &refusal):
 		end.Failed = refusal.Reason == prim.ReasonUnreachable || refusal.Reason == prim.ReasonReservation
 		if !end.Failed {
-			k.caller.host(h).answered()
+			k.caller.host(h).answered(time.Now())
 		}
 		if refusal.Sample.Host != "" {
 			c.Policy.Observe(refusal.Sample)
--- a/retry/call.go
+++ b/retry/call.go
@@ -23,8 +23,9 @@
 
 // running is an attempt that has not ended.
 type running struct {
-	host   prim.HostName
-	cancel context.CancelFunc
+	host    prim.HostName
+	started time.Time
+	cancel  context.CancelFunc
 }
 
 // result is the end of an attempt.
@@ -60,7 +61,7 @@
 	}()
 	start := func(h *prim.Host) {
 		c, cancel := context.WithDeadline(ctx, k.request.Deadline)
-		r := &running{h.Name, cancel}
+		r := &running{h.Name, time.Now(), cancel}
 		attempts = append(attempts, r)
 		k.caller.attempts.Go(func() {
 			a, err := k.attempt(c, cancel, h)
@@ -152,7 +153,7 @@
 	}
 	if checks >= impatience {
 		for _, a := range attempts {
-			k.caller.host(a.host).slow(time.Now())
+			k.caller.host(a.host).silent(a.started, time.Now())
 		}
 	}
 	h := k.choose(exclude)
--- a/retry/reserve.go
+++ b/retry/reserve.go
@@ -15,7 +15,9 @@
 // asked too, and the first slot that is granted is committed. The slow
 // reservation keeps its place in the owner's queue meanwhile. Giving it up
 // instead sends the request to the end of another queue, which at 85% of
-// capacity ended 39% of requests as NotRun when the retry budget ran out.
+// capacity ended 39% of requests as NotRun when the retry budget ran out. For the
+// same reason the second reservation is paid from the retry budget only if the
+// first host is silent; a long queue is worth a hedge at most.
 
 // hold is a reservation that has been asked for.
 type hold struct {
@@ -131,19 +133,26 @@
 	}
 }
 
-// slow asks another host for a reservation beside the slow ones, if the retry
-// budget permits.
+// slow asks another host for a reservation beside the slow ones, if a budget
+// permits.
 func (k *call) slow(s *holds) {
 	exclude := slices.Clone(k.tried)
+	silent := true
 	for _, v := range s.all {
-		k.caller.host(v.host.Name).slow(time.Now())
+		silent = k.caller.host(v.host.Name).silent(v.started, time.Now()) && silent
 		exclude = append(exclude, v.host.Name)
 	}
 	h := k.choose(exclude)
-	if h == nil || !k.service.takeRetry() {
+	switch {
+	case h == nil:
+		return
+	case k.service.takeHedge():
+		k.caller.count("Hedges")
+	case silent && k.service.takeRetry():
+		k.caller.count("Retries")
+	default:
 		return
 	}
-	k.caller.count("Retries")
 	if len(s.all) >= maxRunning {
 		s.all[0].cancel()
 		s.remove(s.all[0])
@@ -168,6 +177,7 @@
 		k.report(ctx, h.Name, nil, g.err, time.Since(g.hold.started))
 		return nil, g.err
 	}
+	k.caller.host(h.Name).answered(time.Now())
 	s.cancel()
 	c, cancel := context.WithDeadline(ctx, k.request.Deadline)
 	return k.finish(c, func() {
