retry: an idempotent request goes elsewhere when its server fails

Ruled out: repeating every request by its status, which would run a deposit twice; repeating without a budget, which doubles the load when all servers fail. Change: answers with 500, 502, 503 and 504 to idempotent requests are followed by an attempt at a host that was not tried, paid from the retry budget; the failed answer is kept in case no better one comes. That cold servers fail at all is a matter of admission.

--- a/retry/call.go
+++ b/retry/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"slices"
 	"time"
 
@@ -19,6 +20,7 @@
 	rounds  int             // rounds in which every host refused
 	refusal *prim.Refusal   // the last one
 	lost    error           // the first end that was Unknown
+	failure *prim.Answer    // an answer with a failure status, if no better one comes
 	reached bool            // the last attempt may have reached a server
 }
 
@@ -48,9 +50,19 @@
 	settleGrace = 5 * time.Millisecond
 )
 
-// doRepeatable runs an idempotent request. An attempt that is late gets a hedge
-// at another host; the first answer wins and the other attempts are cancelled.
+// doRepeatable runs an idempotent request. If every attempt fails, an answer in
+// which a server says so is better than no answer.
 func (k *call) doRepeatable(ctx, waiting context.Context) (*prim.Answer, error) {
+	a, err := k.repeat(ctx, waiting)
+	if err != nil && k.failure != nil {
+		return k.failure, nil
+	}
+	return a, err
+}
+
+// repeat makes the attempts. One that is late gets a hedge at another host; the
+// first answer wins and the other attempts are cancelled.
+func (k *call) repeat(ctx, waiting context.Context) (*prim.Answer, error) {
 	var attempts []*running
 	results := make(chan result)
 	over := make(chan struct{})
@@ -93,7 +105,10 @@
 		case r := <-results:
 			attempts = slices.DeleteFunc(attempts, func(a *running) bool { return a == r.attempt })
 			if r.err == nil {
-				return r.answer, nil
+				if !k.tryElsewhere(r) {
+					return r.answer, nil
+				}
+				continue
 			}
 			if !k.retryable(r.attempt.host, r.err) {
 				return nil, r.err
@@ -122,6 +137,29 @@
 	}
 }
 
+// tryElsewhere reports whether another attempt shall follow an answer, because it
+// has a status with which servers fail that are overloaded, cold or broken. It
+// needs a host that was not tried and comes from the retry budget: a fault of the
+// application itself, which every server shares, must not multiply the load.
+func (k *call) tryElsewhere(r result) bool {
+	switch r.answer.Status {
+	case http.StatusInternalServerError, http.StatusBadGateway,
+		http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+	default:
+		return false
+	}
+	if r.answer.Rest != nil {
+		return false
+	}
+	k.tried = append(k.tried, r.attempt.host)
+	if k.choose(k.tried) == nil || !k.service.takeRetry() {
+		return false
+	}
+	k.caller.count("Retries")
+	k.failure = r.answer
+	return true
+}
+
 // settle collects the ends of the attempts that were running when the time ran
 // out. Their contexts have ended too, so they come back at once, and one that
 // was refused or never sent leaves the request NotRun.
--- a/retry/fake_test.go
+++ b/retry/fake_test.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -21,6 +22,7 @@
 	Cut       bool          // lost before it reaches the owner
 	Restart   bool          // another instance answers the commit
 	Stream    bool
+	Status    int // of the answer, 200 if zero
 }
 
 // world is a service with fake owners, and the ports that show it. The embedded
@@ -138,7 +140,7 @@
 		if sleep(ctx, f.Work) != nil {
 			o.world.add(&o.world.cancelled, 1)
 		}
-		a := &prim.Answer{Status: 200, Body: []byte(r.Path)}
+		a := &prim.Answer{Status: cmp.Or(f.Status, 200), Body: []byte(r.Path)}
 		if f.Stream {
 			a.Rest = &rest{ctx: ctx}
 		}
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -328,3 +328,36 @@
 		is.Equal(refusal.Reason, prim.ReasonNoHost)
 	})
 }
+
+// Guards against an error of one failing server that reaches a caller although
+// another server could answer, against repeating a request that is not
+// idempotent because of its answer, and against retries that multiply the load
+// when every server fails.
+func TestFailureStatus(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld("a", "b")
+		w.scripts["a"] = []fault{{Status: 500}}
+		c := w.caller(Config{})
+		for range 40 {
+			a, err := c.Do(t.Context(), request("/read", true, time.Second))
+			is.NoErr(err)
+			is.Equal(a.Status, 200)
+			time.Sleep(time.Second) // the floor of the budget pays
+		}
+		w.scripts["b"] = w.scripts["a"]
+		a, err := c.Do(t.Context(), request("/write", false, time.Second))
+		is.NoErr(err)
+		is.Equal(a.Status, 500)
+		is.Equal(w.runs["/write"], 1)
+
+		before := w.attempts
+		const calls = 1000
+		for range calls {
+			a, err := c.Do(t.Context(), request("/all fail", true, time.Second))
+			is.NoErr(err)
+			is.Equal(a.Status, 500)
+		}
+		is.True(w.attempts-before <= calls*1.2+12)
+	})
+}
