--- /dev/null
+++ b/share/bench_test.go
@@ -0,0 +1,99 @@
+package share
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	prim "github.com/primrosethread/primrosethread"
+)
+
+// benchFleet returns the state of one ingress node with the given number of
+// customers whose leases come from all owners, and its view.
+func benchFleet(owners, customers int) (*borrower, *prim.View, instant) {
+	w := newWorld(1, owners, part{1e6, 1e6})
+	h, _ := w.hostsAt(w.now)
+	c := prim.ViewConfig{Hosts: h, Allowances: prim.Allowances{Plans: []prim.Plan{{Name: "p", Allowances: []prim.Allowance{{Service: "s", Rate: 1e6, Burst: 1e6}}}}}}
+	for i := range customers {
+		c.Plans.Customers = append(c.Plans.Customers, prim.CustomerEntry{Name: prim.Customer(fmt.Sprintf("customer-%06d", i)), Plan: "p"})
+	}
+	v, at := prim.NewView(c), instant{time.Minute, epoch.Add(w.now)}
+	b := newBorrower(&Config{Self: "ingress", Instance: 1, Terms: testTerms})
+	for _, x := range v.Plans.Customers {
+		b.take(at, v, key{x.Name, "s"}, false)
+		e := b.entries[key{x.Name, "s"}]
+		e.fast, e.slow = 1e6, 1e6
+	}
+	return b, v, at
+}
+
+// answerAll grants everything that is asked.
+func answerAll(b *borrower, at instant, due []batch) (messages, bytes int) {
+	for _, d := range due {
+		a := lease{Instance: 2, Slots: 1, Items: make([]leaseItem, len(d.ask.Items))}
+		for i, x := range d.ask.Items {
+			a.Items[i] = leaseItem{Rate: x.WantRate, Burst: x.WantBurst, Tokens: x.WantBurst}
+		}
+		ask, _ := encode(KindLeaseAsk, &d.ask)
+		back, _ := encode(KindLease, &a)
+		messages, bytes = messages+2, bytes+len(ask.Body)+len(back.Body)
+		b.absorb(at, &d, &a, false)
+	}
+	return messages, bytes
+}
+
+// BenchmarkPlan measures the background cost of active customers whose calls
+// need the parts of all owners: one tick and its answers, the messages and the
+// bytes of a second, and the memory of an entry with its leases.
+func BenchmarkPlan(b *testing.B) {
+	for _, n := range []struct{ owners, customers int }{{7, 10}, {7, 100}, {7, 1000}, {20, 100}, {100, 100}} {
+		b.Run(fmt.Sprintf("owners=%d/customers=%d", n.owners, n.customers), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			s, v, at := benchFleet(n.owners, n.customers)
+			for range 4 {
+				answerAll(s, at, s.plan(at, v))
+				at.mono, at.wall = at.mono+testTick, at.wall.Add(testTick)
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			messages, bytes, ticks := 0, 0, 0
+			for b.Loop() {
+				for _, e := range s.entries {
+					e.arrivals, e.lastCall = 250_000, at.mono
+				}
+				m, x := answerAll(s, at, s.plan(at, v))
+				messages, bytes, ticks = messages+m, bytes+x, ticks+1
+				at.mono, at.wall = at.mono+testTick, at.wall.Add(testTick)
+			}
+			seconds := float64(ticks) * testTick.Seconds()
+			each := float64(n.customers)
+			b.ReportMetric(float64(bytes)/seconds/each, "B/s/customer")
+			b.ReportMetric(float64(messages)/seconds, "messages/s")
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/each, "B/entry")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/seconds/each, "ns/s/customer")
+		})
+	}
+}
+
+// BenchmarkTake measures the decision about one call at three numbers of active
+// customers.
+func BenchmarkTake(b *testing.B) {
+	for _, n := range []int{1, 100, 10_000} {
+		b.Run(fmt.Sprintf("customers=%d", n), func(b *testing.B) {
+			s, v, at := benchFleet(7, n)
+			answerAll(s, at, s.plan(at, v))
+			keys := make([]key, 0, n)
+			for k := range s.entries {
+				keys = append(keys, k)
+			}
+			i := 0
+			for b.Loop() {
+				s.take(at, v, keys[i%n], false)
+				i++
+			}
+		})
+	}
+}
--- a/share/ingress.go
+++ b/share/ingress.go
@@ -396,6 +396,7 @@
 	b.sweep(now)
 	out := make([]batch, 0, len(due))
 	for _, d := range due {
+		b.owners[d.to].busy = true
 		out = append(out, *d)
 	}
 	slices.SortFunc(out, func(x, y batch) int { return cmp.Compare(x.to, y.to) })
@@ -501,7 +502,6 @@
 	if d.ask.Service != e.service || len(d.ask.Items) >= maxItems {
 		return // asked at the next tick
 	}
-	b.owners[to].busy = true
 	l.sequence, l.asked, l.wanted = d.ask.Sequence, now.mono, ask
 	d.ask.Items = append(d.ask.Items, askItem{
 		Customer: e.customer,
