route: one estimate in place of tiers, damped against noise

Cause: in the first version a free slot outranked everything, so the slow host was chosen whenever stale samples showed the others full, and nodes followed noise in the latency: the pool policy wasted more dispatches than random. Ruled out: following every difference of latency (no clearlyWorse); looking at load without regard to its age. Change: a host without a free slot gets a surcharge instead of a lower tier; a latency below three times the median counts as the median; the load in a sample counts less the older it is, and the mean of the hosts with this node's own pending requests takes its place.

--- a/route/pool.go
+++ b/route/pool.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -10,20 +11,25 @@
 )
 
 // The pool policy keeps the last load sample of each host and estimates, for
-// every candidate, how long a request would take there: the network both ways,
-// the latency that the owner reports, and the wait for a slot. To the sample it
-// adds the requests that this node sent too late to be counted in it.
+// every candidate, how long a request would take there. The estimate is the sum
+// of the network time both ways, the latency that the owner reports, increased
+// with the share of the limit in use, and for a hot host, one without a free
+// slot, the wait for one. The hot/cold threshold is that of Prequal, with the
+// owner's limit in the place of a quantile of the load. A hot host only gets a
+// surcharge, because a hot host of ordinary speed still beats a slow one that
+// has a slot free. The shortest estimate wins, so a nearer host comes first
+// until it is slower by more than the network path to another.
 //
-// Candidates fall into three tiers, and a worse tier is used only if the better
-// ones are empty: cold hosts have a free slot, hot hosts would queue or refuse
-// the request, and avoided hosts fail or leave. This is the hot/cold rule of
-// Prequal with the owner's limit as the threshold. Within a tier the shortest
-// estimate wins, so a nearer host comes first until it is slower by more than
-// the network path to another.
+// Two things keep nodes from following noise. A latency below clearlyWorse times
+// the median counts as the median. The load in a sample counts less the older it
+// is; in its place comes the mean of all hosts, corrected by this node's own
+// pending requests. To a sample are added the requests that this node sent too
+// late to be counted in it.
 //
-// A host that gets no requests produces no new samples. After MaxAge its latency
-// counts as unknown and it gets a single trial request. A failing host is tried
-// again after a delay that doubles with each failed trial.
+// Hosts that leave or fail are avoided: they are chosen only if no others are
+// candidates. A failing host is tried again after a delay that doubles with each
+// failed trial. A host that gets no requests produces no latency; when its last
+// one is too old, the median stands in, and it gets requests up to its limit.
 
 // PoolConfig configures Pool. Zero fields take the defaults.
 type PoolConfig struct {
@@ -53,6 +59,21 @@
 // is of the order of one service time, after which a slot has been freed.
 const refusedFor = 5 * time.Millisecond
 
+// The constants of the estimate, by the figures in
+// docs/decisions/target-choice.md.
+const (
+	// clearlyWorse is the multiple of the median latency that is not noise.
+	clearlyWorse = 3
+	// loadWeight is the increase of the latency at the full limit. A larger one
+	// spreads requests over more distant hosts.
+	loadWeight = 0.5
+	// hotWait is the surcharge of a hot host in median latencies.
+	hotWait = 2
+	// decay is the age at which the load in a sample counts by 1/e. It is of the
+	// order of two service times, after which most requests have changed.
+	decay = 20 * time.Millisecond
+)
+
 // Pool is the pool policy. It is safe for concurrent use.
 type Pool struct {
 	c     PoolConfig
@@ -75,16 +96,10 @@
 	trial   time.Time     // earliest next trial while failing
 }
 
-// The tiers, from best to worst.
-const (
-	tierCold = iota
-	tierHot
-	tierAvoid
-)
-
 type rank struct {
-	index, tier int
-	score       float64 // seconds
+	index int
+	avoid bool
+	score float64 // seconds
 }
 
 // NewPool makes a Pool policy.
@@ -102,7 +117,8 @@
 	return &Pool{c: c, hosts: make(map[prim.HostName]*entry)}
 }
 
-// Pick chooses the candidate with the shortest estimate in the best tier.
+// Pick chooses the candidate with the shortest estimate, if possible one that is
+// not to be avoided.
 func (p *Pool) Pick(_ prim.Service, cs []prim.Candidate) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -112,13 +128,13 @@
 		first, n = p.c.Rand(n), p.c.MaxScan
 	}
 	p.ranks = p.ranks[:0]
-	typical := p.typical(now, cs, first, n)
+	all := p.fleet(now, cs, first, n)
 	for k := range n {
 		i := (first + k) % len(cs)
 		e := p.entry(now, cs[i].Host.Name)
 		e.used, e.cost = now, cs[i].Cost
-		tier, score := p.rank(now, e, &cs[i], typical)
-		p.ranks = append(p.ranks, rank{i, tier, score})
+		avoid, score := p.rank(now, e, &cs[i], all)
+		p.ranks = append(p.ranks, rank{i, avoid, score})
 	}
 	best := p.choose()
 	p.hosts[cs[best].Host.Name].chosen(now)
@@ -130,9 +146,13 @@
 	best, ties := p.ranks[0], 1
 	for _, r := range p.ranks[1:] {
 		switch {
-		case r.tier < best.tier || r.tier == best.tier && r.score < best.score:
+		case r.avoid != best.avoid:
+			if best.avoid {
+				best, ties = r, 1
+			}
+		case r.score < best.score:
 			best, ties = r, 1
-		case r.tier == best.tier && r.score == best.score:
+		case r.score == best.score:
 			ties++
 			if p.c.Rand(ties) == 0 {
 				best = r
@@ -142,53 +162,71 @@
 	return best.index
 }
 
-// typical returns the median latency of the candidates' fresh samples, which
-// stands in for an unknown latency.
-func (p *Pool) typical(now time.Time, cs []prim.Candidate, first, n int) time.Duration {
+// fleet is what the candidates have in common.
+type fleet struct {
+	latency float64 // median, in seconds; stands in for an unknown one
+	share   float64 // mean of load to limit
+	pending float64 // mean
+}
+
+func (p *Pool) fleet(now time.Time, cs []prim.Candidate, first, n int) (f fleet) {
 	var ls [64]time.Duration
 	known := ls[:0]
+	fresh := 0.0
 	for k := range n {
-		e := p.hosts[cs[(first+k)%len(cs)].Host.Name]
-		if e != nil && p.fresh(now, e) && e.sample.Latency > 0 {
+		c := &cs[(first+k)%len(cs)]
+		f.pending += float64(c.Pending) / float64(n)
+		e := p.hosts[c.Host.Name]
+		if e == nil || !p.fresh(now, e) {
+			continue
+		}
+		fresh++
+		f.share += float64(e.sample.InFlight+e.sample.Queued) / float64(max(1, e.sample.Limit))
+		if e.sample.Latency > 0 {
 			known = append(known, e.sample.Latency)
 		}
 	}
-	if len(known) == 0 {
-		return 0
+	f.share /= max(1, fresh)
+	if len(known) > 0 {
+		slices.Sort(known)
+		// The lower median: of two hosts the slow one must not be the measure.
+		f.latency = known[(len(known)-1)/2].Seconds()
 	}
-	slices.Sort(known)
-	return known[len(known)/2]
+	return f
 }
 
 func (p *Pool) fresh(now time.Time, e *entry) bool {
 	return !e.at.IsZero() && now.Sub(e.at) <= p.c.MaxAge
 }
 
-// rank returns the tier and the estimated duration of a request at a candidate.
-func (p *Pool) rank(now time.Time, e *entry, c *prim.Candidate, typical time.Duration) (tier int, score float64) {
-	load, limit, latency := c.Pending, 1, typical
+// rank returns whether a candidate is to be avoided, and the estimated duration
+// of a request there.
+func (p *Pool) rank(now time.Time, e *entry, c *prim.Candidate, f fleet) (avoid bool, score float64) {
+	limit, latency := 1.0, f.latency
+	load := float64(c.Pending)
 	if p.fresh(now, e) {
 		s := &e.sample
-		limit = max(1, s.Limit)
-		load = max(load, s.InFlight+s.Queued+e.since(e.at.Add(-2*e.cost)))
+		limit = max(1, float64(s.Limit))
+		weight := math.Exp(-float64(now.Sub(e.at)) / float64(decay))
+		seen := float64(s.InFlight + s.Queued + e.since(e.at.Add(-2*e.cost)))
+		usual := f.share*limit + float64(c.Pending) - f.pending
+		load = max(load, weight*seen+(1-weight)*usual)
 		if s.Latency > 0 {
-			latency = s.Latency
-		}
-		if s.Leaving {
-			tier = tierAvoid
+			latency = s.Latency.Seconds()
+			if latency < clearlyWorse*f.latency {
+				latency = f.latency
+			}
 		}
+		avoid = s.Leaving
 	}
 	if e.failing > failingShare || p.fresh(now, e) && e.sample.Failing > failingShare {
-		if now.Before(e.trial) || c.Pending > 0 {
-			tier = tierAvoid
-		}
+		avoid = avoid || now.Before(e.trial) || c.Pending > 0
 	}
-	if tier == tierCold && (load >= limit || now.Sub(e.refused) < refusedFor && e.refused.After(e.at)) {
-		tier = tierHot
+	score = 2*c.Cost.Seconds() + latency*(1+loadWeight*load/limit)
+	if load > limit-0.5 || now.Sub(e.refused) < refusedFor && e.refused.After(e.at) {
+		score += hotWait*f.latency + latency*max(0, load+1-limit)/limit
 	}
-	l := latency.Seconds()
-	share := float64(load) / float64(limit)
-	return tier, 2*c.Cost.Seconds() + l*(1+share)
+	return avoid, score
 }
 
 // chosen records a choice of the host.
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -86,6 +86,11 @@
 		p.Observe(idle(k.Host.Name))
 	}
 	is.Equal(p.Pick("s", cs), 1)
+	c.now = c.now.Add(time.Millisecond)
+	noise := idle("h1")
+	noise.Latency = 20 * time.Millisecond
+	p.Observe(noise)
+	is.Equal(p.Pick("s", cs), 1)
 	slow := idle("h1")
 	slow.Latency = 100 * time.Millisecond
 	p.Observe(slow)
@@ -114,6 +119,23 @@
 	is.Equal(got, []int{4, 4, 4})
 }
 
+// Guards against an old sample's load being taken for the present one.
+func TestPoolForgetsOldLoad(t *testing.T) {
+	is := is.New(t)
+	p, c := newTestPool(1)
+	cs := candidates(3, time.Millisecond)
+	cs[0].Cost = 0
+	p.Pick("s", cs)
+	full := idle("h0")
+	full.InFlight = 9
+	p.Observe(full)
+	p.Observe(idle("h2"))
+	is.True(p.Pick("s", cs) != 0)
+	c.now = c.now.Add(10 * decay)
+	p.Observe(idle("h1"))
+	is.Equal(p.Pick("s", cs), 0)
+}
+
 // Guards against a leaving host or one that refused being chosen while another
 // has a free slot.
 func TestPoolAvoids(t *testing.T) {
