admit: fast growth back after a decrease that latency alone caused

Change: after a decrease or cold sign by latency each good request raises the limit by one up to the former value less one for each decrease. Other signs, such as a reset or a changed start id, keep the growth by a round for each slot.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -131,7 +131,7 @@
 		}
 	}
 	if late >= minLate && 2*late > len(g.running) {
-		g.cold("running requests are late")
+		g.cold(signLate)
 	}
 	g.next(now)
 }
@@ -202,7 +202,7 @@
 // cold reacts to a sign of a cold server. What no longer fits the queue is
 // refused at once, so that it can run elsewhere.
 func (g *Gate) cold(why string) {
-	g.limiter.cold()
+	g.limiter.cold(why == signJump || why == signLate)
 	g.drop(g.queue.trim(g.bound()), prim.ReasonBusy)
 	if g.c.Cold != nil {
 		g.c.Cold(why)
--- a/admit/gate_test.go
+++ b/admit/gate_test.go
@@ -168,7 +168,8 @@
 }
 
 // Guards against a limit that recovers so slowly after a false alarm that a
-// healthy server's slots are wasted. One round for each slot is 36 requests.
+// healthy server's slots are wasted: one round for each slot, 36 requests, when
+// the server may be cold, and one request for each slot when it was only slow.
 func TestLimitRecovers(t *testing.T) {
 	is := is.New(t)
 	now := start
@@ -176,7 +177,10 @@
 	is.Equal(load(g, &now, 45, good), 9)
 	g.Suspect(now, "test")
 	is.Equal(g.Sample(now).Limit, 1)
-	is.Equal(load(g, &now, 45, good), 9)
+	is.True(load(g, &now, 12, good) < 9)
+	is.Equal(load(g, &now, 200, good), 9)
+	is.Equal(load(g, &now, 4, slow), 1)
+	is.Equal(load(g, &now, 12, good), 9)
 }
 
 // Guards against ordinary variation, a wide one, and a speed that shifts by
@@ -185,8 +189,8 @@
 	for i, sigma := range []float64{0.5, 0.9, 0.5} {
 		now := start
 		r := rand.New(rand.NewPCG(1, 1))
-		g := NewGate(Config{Published: 9}, now)
-		sum := 0
+		colds, sum := 0, 0
+		g := NewGate(Config{Published: 9, Cold: func(string) { colds++ }}, now)
 		for range 300 {
 			as := make([]prim.Attempt, 10)
 			speed := []float64{1, 1, [...]float64{0.25, 0.6, 1.4, 1.8}[r.IntN(4)]}[i]
@@ -197,6 +201,7 @@
 			sum += load(g, &now, len(as), as...)
 		}
 		is.New(t).True(sum > 2400) // of 2700
+		is.New(t).True(colds < 5)  // of 3000 requests
 	}
 }
 
--- a/admit/limit.go
+++ b/admit/limit.go
@@ -17,7 +17,16 @@
 // before the last cut say nothing about the limit that the cut set.
 //
 // A sign that the server is cold sets the limit to the cold cap. Only requests
-// admitted after the sign can raise it again.
+// admitted after the sign can raise it again. If latency alone caused the decrease
+// or was the sign, each such request raises the limit by one up to its former
+// value: a server that was really cold has a bad latency until it is warm, and a
+// server whose speed shifts by itself would lose its slots for many rounds.
+
+// The signs of a cold server that rest on latency alone.
+const (
+	signJump = "jump in service time"
+	signLate = "running requests are late"
+)
 
 const (
 	// goodRatio and badRatio bound the smoothed ratio of latency to the usual
@@ -115,6 +124,7 @@
 	c         Config
 	published int
 	value     float64
+	target    float64 // up to this the limit grows fast
 	admitted  uint64
 	cutAt     uint64 // work up to this number neither raises nor cuts the limit
 	coldAt    uint64 // work up to this number says nothing at all
@@ -151,8 +161,12 @@
 	return work{l.admitted, now, inFlight, inFlight >= l.limit()-1}
 }
 
-// cold returns the limit to the cold cap.
-func (l *limiter) cold() {
+// cold returns the limit to the cold cap. If the sign was only a matter of
+// latency, the limit may grow back fast.
+func (l *limiter) cold(latency bool) {
+	if l.target = max(l.target, l.value); !latency {
+		l.target = 0
+	}
 	l.value = min(l.value, float64(l.c.ColdCap))
 	l.forget()
 	l.ratio = 1
@@ -165,6 +179,8 @@
 func (l *limiter) forget() { l.cutAt, l.coldAt = l.admitted, l.admitted }
 
 func (l *limiter) cut(factor float64) {
+	// One less for each decrease, so that a lasting loss of capacity is learned.
+	l.target = max(l.value, l.target-1)
 	l.value = max(float64(l.c.ColdCap), min(l.value, float64(l.published))*factor)
 	l.cutAt = l.admitted
 	// The next decrease needs evidence of its own: requests admitted after this
@@ -260,12 +276,16 @@
 	l.ratio += (min(maxRatio, ratio) - l.ratio) * ratioWeight
 	switch {
 	case jumps >= jumpCount && l.value > float64(l.c.ColdCap):
-		return "jump in service time"
+		return signJump
 	case w.number <= l.cutAt:
 	case l.ratio > bad:
 		l.cut(slowCut)
 	case ratio < good && l.ratio < good && w.full && l.value < float64(l.published):
-		l.value += 1 / l.value
+		if l.value+1 <= l.target {
+			l.value++
+		} else {
+			l.value += 1 / l.value
+		}
 	}
 	return ""
 }
