--- a/errors.go
+++ b/errors.go
@@ -122,6 +122,11 @@
 	if err == nil {
 		return Done
 	}
+	// A lost answer may have a refusal of some later hop as its cause.
+	var lost *Lost
+	if errors.As(err, &lost) {
+		return Unknown
+	}
 	var refusal *Refusal
 	var over *OverAllowance
 	var conflict *KeyConflict
--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/primrosethread/primrosethread/once"
 	"github.com/primrosethread/primrosethread/owner"
 	"github.com/primrosethread/primrosethread/peers"
+	"github.com/primrosethread/primrosethread/probe"
 	"github.com/primrosethread/primrosethread/retry"
 	"github.com/primrosethread/primrosethread/route"
 	"github.com/primrosethread/primrosethread/server"
@@ -55,6 +56,8 @@
 	caller    *retry.Caller
 	recorder  *stats.Recorder
 	members   *member.Members
+	prober    *probe.Prober
+	forget    func() // drops load samples
 	ledger    *share.Share
 	front     *front.Front
 	leaving   leaving
@@ -71,6 +74,8 @@
 		Key:      s.FleetKey.Bytes(),
 		Resolve:  n.resolve,
 		Seen:     func(h prim.HostName, i prim.Instance) { n.members.Seen(h, i) },
+		Carry:    func(s prim.Sample) (prim.Sample, bool) { return n.prober.Carry(s) },
+		Received: func(h prim.HostName, s prim.Sample) (prim.Sample, bool) { return n.prober.Received(h, s) },
 		Logger:   n.log,
 	})
 	if err != nil {
@@ -89,6 +94,7 @@
 		Cold: func(why string) { n.log.Info("server treated as cold", "Why", why) },
 		Paused: func(gap time.Duration) {
 			n.log.Warn("process was paused", "Gap", gap)
+			n.forget()
 		},
 	})
 	n.records = once.NewOwner(once.OwnerConfig{
@@ -104,6 +110,21 @@
 	if err != nil {
 		return nil, err
 	}
+	pool, _ := policy.(*route.Pool)
+	n.forget = func() {}
+	stale := func(int, time.Duration) []prim.HostName { return nil } // other policies use no samples
+	if pool != nil {
+		n.forget, stale = pool.Forget, pool.Stale
+	}
+	n.prober, err = probe.New(probe.Config{
+		Transport: n.peers,
+		Stale:     stale,
+		Observe:   policy.Observe,
+		Sample:    n.admitter.Sample,
+	})
+	if err != nil {
+		return nil, err
+	}
 	n.recorder = stats.New(stats.Config{})
 	n.ledger, err = share.New(share.Config{
 		Self: s.Name, DataCentre: s.DataCentre, Address: s.PublishedAddress, Instance: n.instance,
@@ -239,6 +260,7 @@
 	return []<-chan error{
 		n.documents.Run(ctx),
 		n.members.Run(ctx),
+		n.prober.Run(ctx),
 		n.admitter.Run(ctx),
 		n.caller.Run(ctx),
 		n.ledger.Run(ctx),
--- a/node/status.go
+++ b/node/status.go
@@ -29,14 +29,22 @@
 	Documents  gossip.Status
 	Members    member.Status
 	Load       prim.Sample
+	Measuring  Measuring
 	Requests   stats.Snapshot
 	Allowances []share.Status
 	Server     server.Status
 	Peers      peers.Status
 }
 
+// Measuring is what measuring load has cost since the start.
+type Measuring struct {
+	Bytes     int64
+	Processor time.Duration
+}
+
 // Status returns the current state.
 func (n *Node) Status() Status {
+	bytes, busy := n.prober.Cost()
 	return Status{
 		Host:       n.c.Settings.Name,
 		DataCentre: n.c.Settings.DataCentre,
@@ -47,6 +55,7 @@
 		Documents:  n.documents.Status(),
 		Members:    n.members.Status(),
 		Load:       n.admitter.Sample(),
+		Measuring:  Measuring{Bytes: bytes, Processor: busy},
 		Requests:   n.recorder.Snapshot(),
 		Allowances: n.ledger.Status(),
 		Server:     n.server.Status(),
--- a/peers/accept.go
+++ b/peers/accept.go
@@ -299,6 +299,13 @@
 // answer writes a frame that ends a call. A failure closes the link, which is
 // how the other side learns of it.
 func (a *acceptor) answer(h wire.Header, body []byte) error {
+	if h.Sample != nil {
+		s, ok := a.p.c.Carry(*h.Sample)
+		h.Sample = &s
+		if !ok {
+			h.Sample = nil
+		}
+	}
 	_, err := a.write(a.p.ctx, &h, body)
 	if err != nil {
 		var malformed *wire.Malformed
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -47,8 +47,13 @@
 	// Local runs the requests that other nodes send to this one.
 	Local prim.Owner
 	// Seen is told when a host answered; it may be nil.
-	Seen   func(prim.HostName, prim.Instance)
-	Logger *slog.Logger
+	Seen func(prim.HostName, prim.Instance)
+	// Carry decides whether the load sample of an answer is sent along, and
+	// Received whether one that came is used; both charge the budget for
+	// measuring load. If they are nil every sample is sent and used.
+	Carry    func(prim.Sample) (prim.Sample, bool)
+	Received func(prim.HostName, prim.Sample) (prim.Sample, bool)
+	Logger   *slog.Logger
 	// LinksPerHost bounds the links to one host; 0 means DefaultLinksPerHost.
 	LinksPerHost int
 	// MaxLinks bounds the open links in both directions; 0 means
@@ -99,6 +104,12 @@
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
+	if c.Carry == nil {
+		c.Carry = func(s prim.Sample) (prim.Sample, bool) { return s, true }
+	}
+	if c.Received == nil {
+		c.Received = func(_ prim.HostName, s prim.Sample) (prim.Sample, bool) { return s, true }
+	}
 	if c.Seen == nil {
 		c.Seen = func(prim.HostName, prim.Instance) {}
 	}
--- a/peers/remote.go
+++ b/peers/remote.go
@@ -59,6 +59,7 @@
 		if a.head.Type == wire.Reserved {
 			return &reservation{o: o, l: l, ticket: a.head.Ticket}, nil
 		}
+		o.receive(&a.head)
 		_, err := a.head.Result(o.host, a.body)
 		if prim.OutcomeOf(err) != prim.NotRun {
 			err = &prim.Refusal{Reason: prim.ReasonUnreachable, Host: o.host}
@@ -106,6 +107,7 @@
 			return nil, &prim.Lost{Host: o.host, Cause: errClosed}
 		}
 		o.p.c.Seen(o.host, l.instance)
+		o.receive(&a.head)
 		answer, err := a.head.Result(o.host, a.body)
 		if err == nil && a.rest != nil {
 			answer.Rest = a.rest
@@ -121,6 +123,19 @@
 	}
 }
 
+// receive charges for the sample of an answer and drops it if it is not to be
+// used.
+func (o *remote) receive(h *wire.Header) {
+	if h.Sample == nil {
+		return
+	}
+	s, ok := o.p.c.Received(o.host, *h.Sample)
+	h.Sample = &s
+	if !ok {
+		h.Sample = nil
+	}
+}
+
 // drained returns the call's channel if a reply is waiting, else a closed one.
 func drained(c *call) <-chan reply {
 	if len(c.answer) > 0 {
--- a/wire/convert.go
+++ b/wire/convert.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"cmp"
 	"errors"
 	"net/http"
 	"time"
@@ -72,8 +73,8 @@
 // ErrorHeader fills a header with the error of a request.
 func ErrorHeader(id uint64, err error) Header {
 	var refusal *prim.Refusal
-	if errors.As(err, &refusal) {
-		return Header{Type: Refusal, ID: id, Reason: refusal.Reason, Sample: &refusal.Sample}
+	if prim.OutcomeOf(err) == prim.NotRun && errors.As(err, &refusal) {
+		return Header{Type: Refusal, ID: id, Reason: refusal.Reason, Sample: &refusal.Sample, Host: refusal.Host}
 	}
 	var conflict *prim.KeyConflict
 	if errors.As(err, &conflict) {
@@ -101,7 +102,7 @@
 	case Answer:
 		return &prim.Answer{Status: h.Status, Header: unflatten(h.HTTP), Body: body, Sample: s, Served: h.Served}, nil
 	case Refusal:
-		return nil, &prim.Refusal{Reason: h.Reason, Host: host, Sample: s}
+		return nil, &prim.Refusal{Reason: h.Reason, Host: cmp.Or(h.Host, host), Sample: s}
 	case Conflict:
 		return nil, &prim.KeyConflict{Key: h.Key}
 	default:
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -81,6 +81,8 @@
 	More       bool          `cbor:"22,keyasint,omitempty"` // parts follow
 	Kind       prim.Kind     `cbor:"23,keyasint,omitempty"` // of a control message
 	Served     time.Duration `cbor:"24,keyasint,omitempty"`
+	// Host is the host that a refusal is about, if not the sender.
+	Host prim.HostName `cbor:"25,keyasint,omitempty"`
 }
 
 // Malformed is the error of a frame that can't be read. The link it came from
--- a/wire/frame_test.go
+++ b/wire/frame_test.go
@@ -39,6 +39,7 @@
 		&prim.Lost{Host: "h", Cause: errors.New("reset"), Reset: true},
 		&prim.KeyConflict{Key: "k"},
 		errors.New("other"),
+		&prim.Lost{Host: "h", Cause: &prim.Refusal{Reason: prim.ReasonBusy}},
 	} {
 		h := wire.ErrorHeader(7, e)
 		b, err := wire.Append(nil, &h, nil)
