admit: a cold server completes 50 requests before its limit grows

Cause: make demo (tasmania, 400 requests/s) showed 8 to 23 answers with status 500 of cold servers: the limit grew by one for each round of good requests, so a server that bears 2 requests until it has completed 30 got 3 after 3 of them. Ruled out: a smaller step of growth, which delays healthy servers as long and still grows before the server is warm; watching the latency, since a cold server below its cold limit answers steadily. Change: after a start, a reset, a changed start id or failures the limit stays at the cold cap until ColdWork (50) requests have completed. A sign that is only a matter of latency still lets it grow back fast. TestLimitRecovers now requires the cold cap for 49 requests and full growth 46 requests later, as before.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -27,6 +27,11 @@
 	Published int
 	// ColdCap is the limit of a cold server. Default 1.
 	ColdCap int
+	// ColdWork is the number of requests that a cold server completes before
+	// its limit grows. Servers warm up with the work that they have done, and
+	// answer well below their cold limit all the while, so good latency alone
+	// does not tell when they bear more. Default 50.
+	ColdWork int
 	// QueuePerSlot bounds each class of the queue, relative to the limit.
 	// Default 1.
 	QueuePerSlot float64
@@ -47,6 +52,9 @@
 	if c.ColdCap == 0 {
 		c.ColdCap = 1
 	}
+	if c.ColdWork == 0 {
+		c.ColdWork = 50
+	}
 	if c.QueuePerSlot == 0 {
 		c.QueuePerSlot = 1
 	}
--- a/admit/gate_test.go
+++ b/admit/gate_test.go
@@ -164,16 +164,19 @@
 	return g.Sample(*now).Limit
 }
 
-// Guards against a limit that recovers so slowly after a false alarm that a
+// Guards against more work than a cold server bears before it has completed
+// ColdWork requests, and then against a limit that recovers so slowly that a
 // healthy server's slots are wasted: one round for each slot, 36 requests, when
 // the server may be cold, and one request for each slot when it was only slow.
 func TestLimitRecovers(t *testing.T) {
 	is := is.New(t)
 	now := start
 	g := NewGate(Config{Published: 9}, now)
-	is.Equal(load(g, &now, 45, good), 9)
+	is.Equal(load(g, &now, 49, good), 1)
+	is.Equal(load(g, &now, 46, good), 9)
 	g.Suspect(now, "test")
 	is.Equal(g.Sample(now).Limit, 1)
+	is.Equal(load(g, &now, 49, good), 1)
 	is.True(load(g, &now, 12, good) < 9)
 	is.Equal(load(g, &now, 200, good), 9)
 	is.Equal(load(g, &now, 4, slow), 1)
--- a/admit/limit.go
+++ b/admit/limit.go
@@ -125,6 +125,7 @@
 	published int
 	value     float64
 	target    float64 // up to this the limit grows fast
+	warming   int     // requests to complete before the limit grows
 	admitted  uint64
 	cutAt     uint64 // work up to this number neither raises nor cuts the limit
 	coldAt    uint64 // work up to this number says nothing at all
@@ -149,7 +150,7 @@
 }
 
 func newLimiter(c Config) limiter {
-	return limiter{c: c, published: c.Published, value: float64(c.ColdCap), ratio: 1, high: minHigh, classes: make(map[prim.Class]*usual)}
+	return limiter{c: c, published: c.Published, value: float64(c.ColdCap), warming: c.ColdWork, ratio: 1, high: minHigh, classes: make(map[prim.Class]*usual)}
 }
 
 // limit returns the number of requests that may be at the server.
@@ -166,6 +167,7 @@
 func (l *limiter) cold(latency bool) {
 	if l.target = max(l.target, l.value); !latency {
 		l.target = 0
+		l.warming = l.c.ColdWork
 	}
 	l.value = min(l.value, float64(l.c.ColdCap))
 	l.forget()
@@ -274,12 +276,16 @@
 		l.high = max(minHigh, l.high*(1-highStep/19))
 	}
 	l.ratio += (min(maxRatio, ratio) - l.ratio) * ratioWeight
+	if l.warming > 0 {
+		l.warming--
+	}
 	switch {
 	case jumps >= jumpCount && l.value > float64(l.c.ColdCap):
 		return signJump
 	case w.number <= l.cutAt:
 	case l.ratio > bad:
 		l.cut(slowCut)
+	case l.warming > 0:
 	case ratio < good && l.ratio < good && w.full && l.value < float64(l.published):
 		if l.value+1 <= l.target {
 			l.value++
