--- a/share/owner_test.go
+++ b/share/owner_test.go
@@ -140,6 +140,21 @@
 	}
 }
 
+// Guards against an ingress node using leases after its host was suspended, while
+// its monotonic clock stood still.
+func TestSuspend(t *testing.T) {
+	b, v, at := benchFleet(3, 1)
+	answerAll(b, at, b.plan(at, v))
+	k := key{"customer-000000", "s"}
+	if !b.take(at, v, k, true).granted {
+		t.Fatal("no grant before the suspension")
+	}
+	at.wall = at.wall.Add(time.Minute)
+	if b.take(at, v, k, true).granted {
+		t.Error("granted from a lease that ended during the suspension")
+	}
+}
+
 // Guards against one message for each customer: the asks for one owner share one.
 func TestBatch(t *testing.T) {
 	b, v, at := benchFleet(3, 5)
