owner: store a reservation's timer before it can be read

Reserve set the timer with time.AfterFunc and stored it afterwards without a lock. A process that is paused between the two for longer than ReserveTerm finds the timer fired first: Release then stops a nil timer, and the panic in the timer's goroutine ends the process.

The timer is now stored under the mutex that Release takes first.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -66,7 +66,10 @@
 		return nil, err
 	}
 	v := &reservation{o: o, r: r, slot: slot, until: time.Now().Add(o.c.ReserveTerm)}
+	// After a pause of the process the timer may fire before it is stored.
+	v.mu.Lock()
 	v.timer = time.AfterFunc(o.c.ReserveTerm, v.Release)
+	v.mu.Unlock()
 	return v, nil
 }
 
