status, logs: readable units and one case for field names

Cause: status showed nanoseconds as bare numbers and the reasons to leave as a bit set; some log fields were lower case. Ruled out: nothing. Conclusion: an operator can read both without the source.

--- a/gossip/core.go
+++ b/gossip/core.go
@@ -302,7 +302,7 @@
 		return
 	}
 	if c.platformError == "" {
-		c.config.Log.Warn("reading the configuration service failed; documents in force stay", "error", err)
+		c.config.Log.Warn("reading the configuration service failed; documents in force stay", "Error", err)
 	}
 	c.platformError, c.platformErrorAt = err.Error(), now
 }
@@ -454,7 +454,7 @@
 	if l := h.lastRefused; l == nil || l.Version != r.Version || l.Hash != r.Hash {
 		h.lastRefused = &r
 		c.config.Log.Error("document refused; the one in force stays",
-			"document", d.Name, "version", d.Version, "inForce", h.Version, "source", r.Source, "error", err)
+			"Document", d.Name, "Version", d.Version, "InForce", h.Version, "Source", r.Source, "Error", err)
 	}
 	if h.wants(d.Digest) {
 		h.remember(refusal{document: d, from: source})
--- a/node/leave.go
+++ b/node/leave.go
@@ -20,6 +20,20 @@
 	byStop                              // this process stops
 )
 
+// names lists the reasons for status and logs.
+func (r leaveReason) names() []string {
+	var names []string
+	for _, e := range [...]struct {
+		reason leaveReason
+		name   string
+	}{{byDocuments, "Documents"}, {byServer, "Server"}, {byStop, "Stop"}} {
+		if r&e.reason != 0 {
+			names = append(names, e.name)
+		}
+	}
+	return names
+}
+
 // leaving combines the reasons.
 type leaving struct {
 	mu      sync.Mutex
@@ -37,7 +51,7 @@
 		l.reasons &^= r
 	}
 	if before != l.reasons {
-		n.log.Info("reasons to leave changed", "Before", before, "After", l.reasons)
+		n.log.Info("reasons to leave changed", "Before", before.names(), "After", l.reasons.names())
 	}
 	n.admitter.SetLeaving(l.reasons != 0)
 }
--- a/node/status.go
+++ b/node/status.go
@@ -20,15 +20,16 @@
 
 // Status is what one node sees.
 type Status struct {
-	Host       prim.HostName
-	DataCentre prim.DataCentre
-	Instance   prim.Instance
-	Version    string
-	Uptime     time.Duration
-	Leaving    leaveReason
+	Host          prim.HostName
+	DataCentre    prim.DataCentre
+	Instance      prim.Instance
+	Version       string
+	UptimeSeconds int64
+	// Leaving lists why the server of this host takes no new requests.
+	Leaving    []string
 	Documents  gossip.Status
 	Members    member.Status
-	Load       prim.Sample
+	Load       Load
 	Measuring  Measuring
 	Requests   stats.Snapshot
 	Allowances []share.Status
@@ -38,28 +39,46 @@
 
 // Measuring is what measuring load has cost since the start.
 type Measuring struct {
-	Bytes     int64
-	Processor time.Duration
+	Bytes       int64
+	ProcessorMs float64
 }
 
+// Load is the load of this host's server as the owner knows it.
+type Load struct {
+	InFlight  int
+	Queued    int
+	Limit     int
+	LatencyMs float64
+	Failing   float64 // share of recent requests
+}
+
+func loadOf(s prim.Sample) Load {
+	return Load{
+		InFlight: s.InFlight, Queued: s.Queued, Limit: s.Limit,
+		LatencyMs: milliseconds(s.Latency), Failing: s.Failing,
+	}
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
 // Status returns the current state.
 func (n *Node) Status() Status {
 	bytes, busy := n.prober.Cost()
 	return Status{
-		Host:       n.c.Settings.Name,
-		DataCentre: n.c.Settings.DataCentre,
-		Instance:   n.instance,
-		Version:    n.c.Version,
-		Uptime:     time.Since(n.started).Round(time.Second),
-		Leaving:    n.leaving.get(),
-		Documents:  n.documents.Status(),
-		Members:    n.members.Status(),
-		Load:       n.admitter.Sample(),
-		Measuring:  Measuring{Bytes: bytes, Processor: busy},
-		Requests:   n.recorder.Snapshot(),
-		Allowances: n.ledger.Status(),
-		Server:     n.server.Status(),
-		Peers:      n.peers.Status(),
+		Host:          n.c.Settings.Name,
+		DataCentre:    n.c.Settings.DataCentre,
+		Instance:      n.instance,
+		Version:       n.c.Version,
+		UptimeSeconds: int64(time.Since(n.started).Seconds()),
+		Leaving:       n.leaving.get().names(),
+		Documents:     n.documents.Status(),
+		Members:       n.members.Status(),
+		Load:          loadOf(n.admitter.Sample()),
+		Measuring:     Measuring{Bytes: bytes, ProcessorMs: milliseconds(busy)},
+		Requests:      n.recorder.Snapshot(),
+		Allowances:    n.ledger.Status(),
+		Server:        n.server.Status(),
+		Peers:         n.peers.Status(),
 	}
 }
 
--- a/share/share.go
+++ b/share/share.go
@@ -175,7 +175,7 @@
 		case err := <-handed:
 			open--
 			if err != nil {
-				s.config.Logger.Warn("allowance slot not handed over; it stays unused until the host list drops the host", "err", err)
+				s.config.Logger.Warn("allowance slot not handed over; it stays unused until the host list drops the host", "Error", err)
 			}
 		case <-ctx.Done():
 			for ; open > 0; open-- {
@@ -337,7 +337,7 @@
 		err := exchange(ctx, s.config.Transport, to, KindSlotHandOver, &h, KindAccepted, &answer)
 		switch {
 		case err == nil && answer.Accepted:
-			s.config.Logger.Info("allowance slots handed over", "to", to, "slots", len(h.Slots))
+			s.config.Logger.Info("allowance slots handed over", "To", to, "Slots", len(h.Slots))
 			return nil
 		case err == nil:
 			return Error.New("host %q was restarted during the hand-over; its slots stay unused", to)
