bench: service while a data centre leaves and returns

Ruled out: the failure tests' counts, which mix this with other faults. Change: bench move, with real processes of the Kumasi fleet's first service; /debug/vars carries the node's status.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -17,6 +17,7 @@
 	"capacity": runCapacity,
 	"dispatch": dispatch,
 	"latency":  runLatency,
+	"move":     runMove,
 	"policy":   policy,
 	"spread":   spread,
 }
--- a/node/status.go
+++ b/node/status.go
@@ -110,6 +110,9 @@
 func (n *Node) vars(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	vars := map[string]json.RawMessage{"Requests": json.RawMessage(n.recorder.String())}
+	if b, err := json.Marshal(n.Status()); err == nil {
+		vars["Node"] = b
+	}
 	expvar.Do(func(kv expvar.KeyValue) { vars[kv.Key] = json.RawMessage(kv.Value.String()) })
 	json.NewEncoder(w).Encode(vars)
 }
