node: settings that had no effect; shorter assembly

Cause: the read-through found that -max-calls, -max-connections and -default-cost were checked and documented but not used, and that -max-waiting 0 meant the default. Ruled out: waiting for a free connection at accept, which would hold up links of other nodes at the same address. Change: the front bounds calls in progress with 503 NotRun; connections of callers beyond the bound are closed; retry takes the default cost; -max-waiting starts at 1. New is split by owner and ingress side. Conclusion: every setting now has an effect.

--- a/config/node.go
+++ b/config/node.go
@@ -134,7 +134,7 @@
 	{flag: "max-calls", def: "5000", help: "bound on calls of callers in flight",
 		set: func(n *Node, s string) *refusal { return setInt(&n.MaxCalls, s, 1, 1_000_000) }},
 	{flag: "max-waiting", def: "1000", help: "bound on calls that wait for a server",
-		set: func(n *Node, s string) *refusal { return setInt(&n.MaxWaiting, s, 0, 1_000_000) }},
+		set: func(n *Node, s string) *refusal { return setInt(&n.MaxWaiting, s, 1, 1_000_000) }},
 	{flag: "record-bytes", def: "33554432", help: "bound on the memory of idempotency records, in bytes",
 		set: func(n *Node, s string) *refusal { return setInt(&n.RecordBytes, s, 1<<20, 1<<30) }},
 }
--- a/front/front.go
+++ b/front/front.go
@@ -47,11 +47,20 @@
 	// KeyCreated returns when a key was first used, from the key itself or
 	// from the value of HeaderAttempted; zero if unknown.
 	KeyCreated func(key, attempted string) time.Time
-	Logger     *slog.Logger
+	// MaxCalls bounds the calls in progress; 0 means DefaultMaxCalls.
+	MaxCalls int
+	Logger   *slog.Logger
 }
 
+// DefaultMaxCalls bounds the calls in progress. Each holds its body, so the
+// bound is one on memory.
+const DefaultMaxCalls = 4096
+
 // Front handles the requests of callers.
-type Front struct{ c Config }
+type Front struct {
+	c     Config
+	calls chan struct{} // a token for each call in progress
+}
 
 // New returns a Front.
 func New(c Config) *Front {
@@ -61,7 +70,10 @@
 	if c.KeyCreated == nil {
 		c.KeyCreated = func(string, string) time.Time { return time.Time{} }
 	}
-	return &Front{c: c}
+	if c.MaxCalls == 0 {
+		c.MaxCalls = DefaultMaxCalls
+	}
+	return &Front{c: c, calls: make(chan struct{}, c.MaxCalls)}
 }
 
 // Mount adds the callers' routes to a router. They match every path with a
@@ -76,6 +88,13 @@
 
 func (f *Front) serve(w http.ResponseWriter, hr *http.Request) {
 	start := time.Now()
+	select {
+	case f.calls <- struct{}{}:
+		defer func() { <-f.calls }()
+	default:
+		f.fail(w, nil, &prim.Refusal{Reason: prim.ReasonBusy}, start)
+		return
+	}
 	r, err := f.request(w, hr, start)
 	if err != nil {
 		f.fail(w, r, err, start)
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -216,3 +216,30 @@
 type cutReader struct{}
 
 func (cutReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// Guards against more calls in progress than the node has memory for.
+func TestMaxCalls(t *testing.T) {
+	is := is.New(t)
+	p, _ := start(t)
+	entered, leave := make(chan struct{}), make(chan struct{})
+	p.do = func(*prim.Request) (*prim.Answer, error) {
+		entered <- struct{}{}
+		<-leave
+		return &prim.Answer{Status: 200}, nil
+	}
+	router := mux.NewRouter()
+	front.New(front.Config{Documents: p, Ledger: p, Caller: p, Recorder: p, MaxCalls: 1}).Mount(router)
+	s := httptest.NewServer(router)
+	defer s.Close()
+	first := make(chan int, 1)
+	go func() {
+		resp, _ := call(t, s, "GET", "/dispatch/x", "f", "")
+		first <- resp.StatusCode
+	}()
+	<-entered
+	resp, _ := call(t, s, "GET", "/dispatch/x", "f", "")
+	is.Equal(resp.StatusCode, 503)
+	is.Equal(resp.Header.Get(front.HeaderOutcome), "NotRun")
+	close(leave)
+	is.Equal(<-first, 200)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -88,6 +88,24 @@
 		Host: s.Name, DataCentre: s.DataCentre, Instance: n.instance,
 		Documents: n.documents, Transport: n.peers,
 	})
+	n.recorder = stats.New(stats.Config{})
+	n.ledger, err = share.New(share.Config{
+		Self: s.Name, DataCentre: s.DataCentre, Address: s.PublishedAddress, Instance: n.instance,
+		Terms: terms(), Documents: n.documents, Transport: n.peers, Logger: n.log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	n.assembleOwner()
+	if err := n.assembleIngress(); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+// assembleOwner builds what runs requests at this host's server.
+func (n *Node) assembleOwner() {
+	s := &n.c.Settings
 	n.server = server.New(server.Config{Host: s.Name, Address: s.Server, Connections: 1})
 	n.admitter = admit.New(admit.Config{
 		Host: s.Name,
@@ -97,6 +115,7 @@
 			n.forget()
 		},
 	})
+	// Records wrap the owner, so that a repeat never reaches admission.
 	n.records = once.NewOwner(once.OwnerConfig{
 		Host:      s.Name,
 		Next:      owner.New(owner.Config{Host: s.Name, Server: n.server, Admitter: n.admitter}),
@@ -106,35 +125,55 @@
 		Bytes:     int64(s.RecordBytes),
 	})
 	n.peers.SetLocal(n.records)
+}
+
+// assembleIngress builds what takes requests of callers and places them.
+func (n *Node) assembleIngress() error {
+	s := &n.c.Settings
 	policy, err := route.New(s.Policy, route.Config{})
 	if err != nil {
-		return nil, err
+		return err
 	}
-	pool, _ := policy.(*route.Pool)
 	n.forget = func() {}
-	stale := func(int, time.Duration) []prim.HostName { return nil } // other policies use no samples
-	if pool != nil {
+	stale := func(int, time.Duration) []prim.HostName { return nil }
+	if pool, ok := policy.(*route.Pool); ok { // the only one that uses samples
 		n.forget, stale = pool.Forget, pool.Stale
 	}
 	n.prober, err = probe.New(probe.Config{
-		Transport: n.peers,
-		Stale:     stale,
-		Observe:   policy.Observe,
-		Sample:    n.admitter.Sample,
+		Transport: n.peers, Stale: stale, Observe: policy.Observe, Sample: n.admitter.Sample,
 	})
 	if err != nil {
-		return nil, err
+		return err
 	}
-	n.recorder = stats.New(stats.Config{})
-	n.ledger, err = share.New(share.Config{
-		Self: s.Name, DataCentre: s.DataCentre, Address: s.PublishedAddress, Instance: n.instance,
-		Terms: terms(), Documents: n.documents, Transport: n.peers, Logger: n.log,
+	n.caller = retry.New(retry.Config{
+		Host:        s.Name,
+		Costs:       costs(s),
+		DefaultCost: s.DefaultCost,
+		Documents:   n.documents,
+		Members:     n.members,
+		Policy:      policy,
+		Owners:      n.peers,
+		Keyed:       n.walker(policy),
+		Recorder:    n.recorder,
+		Queue:       s.MaxWaiting,
 	})
-	if err != nil {
-		return nil, err
-	}
-	walker := once.NewWalker(once.WalkerConfig{
-		Host:      s.Name,
+	n.front = front.New(front.Config{
+		Documents:  n.documents,
+		Ledger:     n.ledger,
+		Caller:     n.caller,
+		Recorder:   n.recorder,
+		KeyCreated: once.Created,
+		MaxCalls:   s.MaxCalls,
+		Logger:     n.log,
+	})
+	return nil
+}
+
+// walker builds the caller of requests with an idempotency key. It shares the
+// budgets and the pending counts of n.caller, which is set after it.
+func (n *Node) walker(policy prim.Policy) *once.Walker {
+	return once.NewWalker(once.WalkerConfig{
+		Host:      n.c.Settings.Name,
 		Documents: n.documents,
 		Members:   n.members,
 		Policy:    policy,
@@ -144,27 +183,6 @@
 		},
 		Track: func(h prim.HostName) func() { return n.caller.Track(h) },
 	})
-	n.caller = retry.New(retry.Config{
-		Host:      s.Name,
-		Costs:     costs(s),
-		Documents: n.documents,
-		Members:   n.members,
-		Policy:    policy,
-		Owners:    n.peers,
-		Keyed:     walker,
-		Recorder:  n.recorder,
-		Queue:     s.MaxWaiting,
-	})
-	n.front = front.New(front.Config{
-		Documents: n.documents,
-		Ledger:    n.ledger,
-		Caller:    n.caller,
-		Recorder:  n.recorder,
-		Logger:    n.log,
-
-		KeyCreated: once.Created,
-	})
-	return n, nil
 }
 
 // clockMargin bounds the difference between two hosts' wall clocks. Time daemons
@@ -204,8 +222,8 @@
 	return netip.AddrPort{}, false
 }
 
-// Run serves until the context ends, then stops gracefully: it tells peers,
-// admits nothing new, and finishes the requests in flight. It returns nil
+// Run serves until the context ends, then stops gracefully: it
+// admits nothing new and finishes the requests in flight. It returns nil
 // after a planned stop.
 func (n *Node) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", n.c.Settings.Listen.String())
@@ -225,6 +243,8 @@
 	router.Handle(peers.Path, n.peers.Handler())
 	n.front.Mount(router)
 	callers := newServer(n.closing(router))
+	limit := &connections{most: int64(n.c.Settings.MaxConnections)}
+	callers.ConnState = limit.changed
 	status := newServer(n.adminRoutes())
 	served := make(chan error, 2)
 	go func(context.Context) { served <- callers.Serve(listener) }(ctx)
--- a/retry/choose.go
+++ b/retry/choose.go
@@ -58,7 +58,7 @@
 	for _, h := range s.hosts {
 		cost, ok := c.Costs[h.DataCentre]
 		if !ok {
-			cost = DefaultCost
+			cost = c.DefaultCost
 		}
 		if h.Name == c.Host {
 			cost = 0
--- a/retry/reserve.go
+++ b/retry/reserve.go
@@ -190,7 +190,7 @@
 func (k *call) reserveWait(h *prim.Host) time.Duration {
 	cost, ok := k.caller.config.Costs[h.DataCentre]
 	if !ok {
-		cost = DefaultCost
+		cost = k.caller.config.DefaultCost
 	}
 	return k.caller.config.ReserveWait + 2*cost
 }
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -23,8 +23,9 @@
 	// Host is the host of this node. Its own server is preferred.
 	Host prim.HostName
 	// Costs is the one-way network distance of each data centre. A data
-	// centre that is not listed costs DefaultCost.
-	Costs map[prim.DataCentre]time.Duration
+	// centre that is not listed costs DefaultCost, which is 10 ms if zero.
+	Costs       map[prim.DataCentre]time.Duration
+	DefaultCost time.Duration
 
 	Documents prim.Documents
 	Members   prim.Members
@@ -65,11 +66,11 @@
 	BackoffMin, BackoffMax time.Duration
 }
 
-// DefaultCost is the network distance of a data centre that Config.Costs does
-// not list.
+// DefaultCost is the network distance of a data centre for which Config has none.
 const DefaultCost = 10 * time.Millisecond
 
 func (c *Config) setDefaults() {
+	setDefault(&c.DefaultCost, DefaultCost)
 	setDefault(&c.RetryShare, 0.2)
 	setDefault(&c.RetryFloor, 1)
 	setDefault(&c.RetryBurst, 10)
