gossip: log failed reads of the platform once a minute

Cause: with one replica down every other read fails, and each failure after a success was logged again (seen in the failure tests). Ruled out: logging only a change of the error text, which alternates as well. Change: at most one line a minute; status has the last error at any time. Conclusion: the line can be alerted on.

--- a/gossip/core.go
+++ b/gossip/core.go
@@ -69,6 +69,7 @@
 
 	platformError   string
 	platformErrorAt time.Time
+	platformLogged  time.Time
 }
 
 // NewCore checks the configuration and returns a Core without documents.
@@ -295,13 +296,18 @@
 	return as
 }
 
+// platformLogEvery is the least time between two log lines about failed reads. With
+// one replica of several down every other read fails.
+const platformLogEvery = time.Minute
+
 // platform notes the result of a read of the platform.
 func (c *Core) platform(now time.Time, err error) {
 	if err == nil {
 		c.platformError = ""
 		return
 	}
-	if c.platformError == "" {
+	if now.Sub(c.platformLogged) >= platformLogEvery {
+		c.platformLogged = now
 		c.config.Log.Warn("reading the configuration service failed; documents in force stay", "Error", err)
 	}
 	c.platformError, c.platformErrorAt = err.Error(), now
