--- a/cmd/bench/latency.go
+++ b/cmd/bench/latency.go
@@ -211,6 +211,10 @@
 	if err := json.Unmarshal(b, &vars); err != nil {
 		return err
 	}
-	fmt.Fprintf(w, "%s: %s\n", h.Place.Host, vars["Requests"])
+	var node struct{ AllowanceUsage json.RawMessage }
+	if err := json.Unmarshal(vars["Node"], &node); err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "%s: %s allowances: %s\n", h.Place.Host, vars["Requests"], node.AllowanceUsage)
 	return nil
 }
--- a/node/status.go
+++ b/node/status.go
@@ -33,8 +33,10 @@
 	Measuring  Measuring
 	Requests   stats.Snapshot
 	Allowances []share.Status
-	Server     server.Status
-	Peers      peers.Status
+	// AllowanceUsage sums up what allowances cost this node.
+	AllowanceUsage share.Usage
+	Server         server.Status
+	Peers          peers.Status
 }
 
 // Measuring is what measuring load has cost since the start.
@@ -65,20 +67,21 @@
 func (n *Node) Status() Status {
 	bytes, busy := n.prober.Cost()
 	return Status{
-		Host:          n.c.Settings.Name,
-		DataCentre:    n.c.Settings.DataCentre,
-		Instance:      n.instance,
-		Version:       n.c.Version,
-		UptimeSeconds: int64(time.Since(n.started).Seconds()),
-		Leaving:       n.leaving.get().names(),
-		Documents:     n.documents.Status(),
-		Members:       n.members.Status(),
-		Load:          loadOf(n.admitter.Sample()),
-		Measuring:     Measuring{Bytes: bytes, ProcessorMs: milliseconds(busy)},
-		Requests:      n.recorder.Snapshot(),
-		Allowances:    n.ledger.Status(),
-		Server:        n.server.Status(),
-		Peers:         n.peers.Status(),
+		Host:           n.c.Settings.Name,
+		DataCentre:     n.c.Settings.DataCentre,
+		Instance:       n.instance,
+		Version:        n.c.Version,
+		UptimeSeconds:  int64(time.Since(n.started).Seconds()),
+		Leaving:        n.leaving.get().names(),
+		Documents:      n.documents.Status(),
+		Members:        n.members.Status(),
+		Load:           loadOf(n.admitter.Sample()),
+		Measuring:      Measuring{Bytes: bytes, ProcessorMs: milliseconds(busy)},
+		Requests:       n.recorder.Snapshot(),
+		Allowances:     n.ledger.Status(),
+		AllowanceUsage: n.ledger.Usage(),
+		Server:         n.server.Status(),
+		Peers:          n.peers.Status(),
 	}
 }
 
--- a/share/share.go
+++ b/share/share.go
@@ -20,6 +20,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	prim "github.com/primrosethread/primrosethread"
@@ -59,6 +60,8 @@
 	asks     uint64 // messages sent
 	failures uint64 // of them without an answer
 	handing  bool   // Run has begun a hand-over
+
+	calls, waited atomic.Uint64 // of Take
 }
 
 var _ prim.Ledger = (*Share)(nil)
@@ -100,8 +103,10 @@
 // between the decision and the call does not change that.
 func (s *Share) Take(ctx context.Context, c prim.Customer, service prim.Service) error {
 	k := key{c, service}
+	s.calls.Add(1)
 	d := s.take(k, false)
 	if d.answered != nil {
+		s.waited.Add(1)
 		t := time.NewTimer(s.config.Wait)
 		defer t.Stop()
 		select {
@@ -415,6 +420,7 @@
 
 // Usage sums up the messages of this node and the state of its own slots.
 type Usage struct {
+	Calls, Waited  uint64 // calls of Take, and those that waited for an owner
 	Asks, Failures uint64 // messages sent to other owners, and those without an answer
 	Held, Usable   int    // slots that this instance holds, and those it may lend from
 }
@@ -423,5 +429,5 @@
 func (s *Share) Usage() Usage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Usage{Asks: s.asks, Failures: s.failures, Held: len(s.lender.held), Usable: len(s.lender.usable)}
+	return Usage{Calls: s.calls.Load(), Waited: s.waited.Load(), Asks: s.asks, Failures: s.failures, Held: len(s.lender.held), Usable: len(s.lender.usable)}
 }
