waits: one place for jitter and interruptible waits

Cause: the same two functions stood in once and retry, and a third form in node. Ruled out: exporting them from one of the two, which would make once import retry or the other way round. Conclusion: the duplicate is gone.

--- a/node/leave.go
+++ b/node/leave.go
@@ -7,6 +7,7 @@
 	"time"
 
 	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/waits"
 )
 
 // A node takes no new requests for its server while any reason to leave is
@@ -122,10 +123,10 @@
 	n.leaving.set(n, byStop, true)
 	ctx, cancel := context.WithTimeout(context.Background(), n.c.Settings.DrainTimeout)
 	defer cancel()
-	wait(ctx, closeGrace)
+	waits.Sleep(ctx, closeGrace)
 	err := s.Shutdown(ctx)
 	for ctx.Err() == nil && n.busy() {
-		wait(ctx, drainPoll)
+		waits.Sleep(ctx, drainPoll)
 	}
 	if ctx.Err() != nil {
 		n.log.Error("planned stop timed out with requests in flight; raise -drain-timeout", "InFlight", n.admitter.Sample().InFlight)
@@ -151,10 +152,3 @@
 	load := n.admitter.Sample()
 	return load.InFlight > 0 || load.Queued > 0 || n.peers.Status().Serving > 0
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/once/fake_test.go
+++ b/once/fake_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/waits"
 )
 
 // fault is what the network and the server do with one dispatch.
@@ -213,7 +214,7 @@
 	n := o.w.runs[r.Key]
 	o.w.ran[r.Header.Get("Attempt")] = true
 	o.w.mu.Unlock()
-	if err := sleep(ctx, f.Work); err != nil || f.Dies {
+	if err := waits.Sleep(ctx, f.Work); err != nil || f.Dies {
 		return nil, &prim.Lost{Host: o.host, Cause: io.EOF, Reset: true}
 	}
 	return &prim.Answer{Status: 201, Body: fmt.Append(nil, r.Key, " run ", n)}, nil
--- a/once/walk.go
+++ b/once/walk.go
@@ -8,6 +8,7 @@
 	"time"
 
 	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/waits"
 )
 
 // WalkerConfig configures a Walker. The ports are required except as noted.
@@ -97,7 +98,7 @@
 			// No owner runs a key from the future. If it did, a later
 			// instance of the owner could take the key for one that it
 			// would remember.
-			if sleep(waiting, ahead-KeyMargin+time.Millisecond) != nil {
+			if waits.Sleep(waiting, ahead-KeyMargin+time.Millisecond) != nil {
 				return k.unknown(waiting.Err())
 			}
 			continue
@@ -184,7 +185,7 @@
 		k.refusal = nil
 	}
 	k.tries++
-	return nil, k.again(waiting, jitter(min(backoffMin<<min(k.tries, 16), backoffMax)))
+	return nil, k.again(waiting, waits.Jitter(min(backoffMin<<min(k.tries, 16), backoffMax)))
 }
 
 // again waits before another attempt and returns the end of the request if its
@@ -194,7 +195,7 @@
 	if k.config.Again != nil {
 		err = k.config.Again(waiting, k.request, delay)
 	} else {
-		err = sleep(waiting, delay)
+		err = waits.Sleep(waiting, delay)
 	}
 	switch {
 	case err == nil:
@@ -282,7 +283,7 @@
 		if unsure == nil {
 			return nil, &prim.Refusal{Reason: prim.ReasonNoRecord}
 		}
-		if tries == maxLost || k.again(waiting, jitter(min(backoffMin<<min(tries, 16), backoffMax))) != nil {
+		if tries == maxLost || k.again(waiting, waits.Jitter(min(backoffMin<<min(tries, 16), backoffMax))) != nil {
 			return nil, k.unknown(unsure)
 		}
 	}
--- a/retry/call.go
+++ b/retry/call.go
@@ -8,6 +8,7 @@
 	"time"
 
 	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/waits"
 )
 
 // call is one request on its way through its attempts.
@@ -250,7 +251,7 @@
 	c := &k.caller.config
 	d := min(c.BackoffMin<<min(k.rounds, 16), c.BackoffMax)
 	k.rounds++
-	return jitter(d)
+	return waits.Jitter(d)
 }
 
 // end returns the error of a request whose time has run out.
--- a/retry/fake_test.go
+++ b/retry/fake_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/waits"
 )
 
 // fault is what a fake owner does with one request.
@@ -137,7 +138,7 @@
 		o.world.mu.Lock()
 		o.world.runs[r.Path]++
 		o.world.mu.Unlock()
-		if sleep(ctx, f.Work) != nil {
+		if waits.Sleep(ctx, f.Work) != nil {
 			o.world.add(&o.world.cancelled, 1)
 		}
 		a := &prim.Answer{Status: cmp.Or(f.Status, 200), Body: []byte(r.Path)}
@@ -165,11 +166,11 @@
 	}
 	if f.Frozen > 0 && !f.LoseReply {
 		// A reservation that was made and whose answer is late.
-		if f.Frozen, f.Refuse = 0, 0; sleep(ctx, f.Frozen+time.Hour) == nil {
+		if f.Frozen, f.Refuse = 0, 0; waits.Sleep(ctx, f.Frozen+time.Hour) == nil {
 			return nil, errors.New("not cancelled")
 		}
 	}
-	sleep(ctx, f.Queue)
+	waits.Sleep(ctx, f.Queue)
 	o.world.add(&o.world.reserved, 1)
 	return &reservation{o: o, r: r, f: f}, nil
 }
--- a/retry/service.go
+++ b/retry/service.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/waits"
 )
 
 // service holds the budgets, the waiting requests and the latencies of one
@@ -99,7 +99,7 @@
 		}
 		// The queue is full. The caller still gets no error before its
 		// deadline; the request asks for a place again later.
-		if err := sleep(ctx, jitter(s.config.BackoffMax)); err != nil {
+		if err := waits.Sleep(ctx, waits.Jitter(s.config.BackoffMax)); err != nil {
 			return err
 		}
 	}
@@ -146,19 +146,3 @@
 	}
 	return l
 }
-
-// jitter returns a random time between half of d and d.
-func jitter(d time.Duration) time.Duration {
-	return d/2 + rand.N(d/2+1)
-}
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
