--- a/member/members.go
+++ b/member/members.go
@@ -135,13 +135,15 @@
 	for _, via := range helpers {
 		go func(ctx context.Context) { answers <- m.ask(ctx, via, h, kindPingVia, 2*m.c.Timeout) }(ctx)
 	}
+	answered := false
 	for range helpers {
 		if <-answers {
-			return
+			answered = true
+			cancel() // the others need not go on
 		}
 	}
-	if ctx.Err() != nil {
-		return // this node stops; that says nothing about the host
+	if answered || ctx.Err() != nil {
+		return // or this node stops, which says nothing about the host
 	}
 	m.mu.Lock()
 	m.failures++
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -221,11 +221,11 @@
 func TestCancelReachesOwner(t *testing.T) {
 	is := is.New(t)
 	f := newFleet()
-	entered, cancelled := make(chan struct{}), make(chan struct{})
+	entered, ended := make(chan struct{}), make(chan error, 1)
 	f.start(t, "b", key, &fakeOwner{run: func(ctx context.Context, _ *prim.Request) (*prim.Answer, error) {
 		close(entered)
 		<-ctx.Done()
-		close(cancelled)
+		ended <- ctx.Err()
 		return nil, &prim.Lost{Cause: ctx.Err()}
 	}})
 	a := f.start(t, "a", key, nil)
@@ -238,7 +238,7 @@
 	<-entered
 	cancel()
 	is.Equal(prim.OutcomeOf(<-result), prim.Unknown)
-	<-cancelled
+	is.Equal(<-ended, context.Canceled) // and not its deadline
 }
 
 // Guards against a long answer that is cut and looks complete, and against
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -142,7 +142,9 @@
 		<-entered
 		cancel()
 	}()
-	_, err := c.Do(ctx, request("GET", "/"))
+	r := request("GET", "/")
+	r.Deadline = time.Now().Add(time.Hour) // only the cancellation can end it
+	_, err := c.Do(ctx, r)
 	is.Equal(prim.OutcomeOf(err), prim.Unknown)
 	<-gone
 	is.Equal(c.Status().Open, 0)
--- a/wire/frame_test.go
+++ b/wire/frame_test.go
@@ -34,20 +34,24 @@
 // must stay NotRun and a lost answer must stay Unknown.
 func TestErrorRoundTrip(t *testing.T) {
 	is := is.New(t)
-	for _, e := range []error{
-		&prim.Refusal{Reason: prim.ReasonBusy, Host: "h"},
-		&prim.Lost{Host: "h", Cause: errors.New("reset"), Reset: true},
-		&prim.KeyConflict{Key: "k"},
-		errors.New("other"),
-		&prim.Lost{Host: "h", Cause: &prim.Refusal{Reason: prim.ReasonBusy}},
+	for _, c := range []struct {
+		err  error
+		want prim.Outcome
+	}{
+		{&prim.Refusal{Reason: prim.ReasonBusy, Host: "h"}, prim.NotRun},
+		{&prim.Lost{Host: "h", Cause: errors.New("reset"), Reset: true}, prim.Unknown},
+		{&prim.KeyConflict{Key: "k"}, prim.NotRun},
+		{errors.New("other"), prim.Unknown},
+		{&prim.Lost{Host: "h", Cause: &prim.Refusal{Reason: prim.ReasonBusy}}, prim.Unknown},
 	} {
-		h := wire.ErrorHeader(7, e)
+		is.Equal(prim.OutcomeOf(c.err), c.want)
+		h := wire.ErrorHeader(7, c.err)
 		b, err := wire.Append(nil, &h, nil)
 		is.NoErr(err)
 		got, body, err := wire.Split(b)
 		is.NoErr(err)
 		_, back := got.Result("h", body)
-		is.Equal(prim.OutcomeOf(back), prim.OutcomeOf(e))
+		is.Equal(prim.OutcomeOf(back), c.want)
 	}
 }
 
