--- a/retry/budget.go
+++ b/budget/budget.go
@@ -1,54 +1,56 @@
-package retry
+// Package budget holds the token bucket that pays for repeated attempts.
+package budget
 
 import (
 	"math"
 	"time"
 )
 
-// A budget is a token bucket that first attempts fill. Each first attempt adds
+// Budget is a token bucket that first attempts fill. Each first attempt adds
 // share tokens, and the floor adds some every second, so that a service with
 // little traffic can retry at all. The bucket holds at most burst tokens plus
 // the share of the first attempts of about the last ten seconds: what an idle
 // or a long healthy service saves up stays in proportion to its recent traffic.
 //
 // Over any time T with n first attempts at most share*n + floor*T + the
-// content at the start are taken.
-type budget struct {
+// content at the start are taken. A Budget has no lock.
+type Budget struct {
 	share, floor, burst float64
 
 	tokens float64
-	recent float64 // first attempts, decayed with budgetMemory
+	recent float64 // first attempts, decayed with memory
 	last   time.Time
 }
 
-// budgetMemory is the time constant with which first attempts are forgotten.
-const budgetMemory = 10 * time.Second
+// memory is the time constant with which first attempts are forgotten.
+const memory = 10 * time.Second
 
-func newBudget(share, floor, burst float64) *budget {
-	return &budget{share: share, floor: floor, burst: burst, tokens: burst}
+// New returns a full bucket.
+func New(share, floor, burst float64) *Budget {
+	return &Budget{share: share, floor: floor, burst: burst, tokens: burst}
 }
 
-func (b *budget) advance(now time.Time) {
+func (b *Budget) advance(now time.Time) {
 	if b.last.IsZero() {
 		b.last = now
 	}
 	if dt := now.Sub(b.last); dt > 0 {
 		b.last = now
-		b.recent *= math.Exp(-float64(dt) / float64(budgetMemory))
+		b.recent *= math.Exp(-float64(dt) / float64(memory))
 		b.tokens += b.floor * dt.Seconds()
 	}
 	b.tokens = min(b.tokens, b.burst+b.share*b.recent)
 }
 
-// first counts a first attempt.
-func (b *budget) first(now time.Time) {
+// First counts a first attempt.
+func (b *Budget) First(now time.Time) {
 	b.advance(now)
 	b.recent++
 	b.tokens += b.share
 }
 
-// take removes a token if there is one.
-func (b *budget) take(now time.Time) bool {
+// Take removes a token if there is one.
+func (b *Budget) Take(now time.Time) bool {
 	b.advance(now)
 	// The tolerance covers rounding: ten deposits of 0.2 shall pay for two.
 	if b.tokens < 1-1e-9 {
@@ -58,17 +60,17 @@
 	return true
 }
 
-// giveBack returns a token that was taken and not used.
-func (b *budget) giveBack() { b.tokens++ }
+// GiveBack returns a token that was taken and not used.
+func (b *Budget) GiveBack() { b.tokens++ }
 
-// ready returns the time until the floor alone has filled up a token.
-func (b *budget) ready(now time.Time) time.Duration {
+// Ready returns the time until the floor alone has filled up a token.
+func (b *Budget) Ready(now time.Time) time.Duration {
 	b.advance(now)
 	if b.tokens >= 1-1e-9 {
 		return 0
 	}
 	if b.floor <= 0 {
-		return budgetMemory
+		return memory
 	}
 	return time.Duration((1-b.tokens)/b.floor*float64(time.Second)) + 1
 }
--- a/cmd/primrosethread/main.go
+++ b/cmd/primrosethread/main.go
@@ -26,6 +26,7 @@
 
 var commands = []command{
 	{"node", "[flags]", "run the node of this host", runNode},
+	{"mesh", "[flags]", "run the node of this host on the users' platform", runMesh},
 	{"check", "<folder>", "check a folder of documents before they are published", check},
 	{"status", "-admin <address>", "show the state of a node", status},
 	{"version", "", "print the version", printVersion},
--- /dev/null
+++ b/cmd/primrosethread/mesh.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"runtime/debug"
+
+	"github.com/primrosethread/primrosethread/logs"
+	"github.com/primrosethread/primrosethread/mesh"
+	"github.com/primrosethread/primrosethread/platform"
+)
+
+// runMesh runs a node on the users' platform until the context ends.
+func runMesh(ctx context.Context, args []string, out, errs io.Writer) int {
+	flags := flag.NewFlagSet("mesh", flag.ContinueOnError)
+	flags.SetOutput(errs)
+	path := flags.String("settings", os.Getenv(platform.PathVariable), "path of the settings file; default from "+platform.PathVariable)
+	level := slog.LevelInfo
+	flags.TextVar(&level, "log-level", level, "least level of the log lines: DEBUG, INFO, WARN or ERROR")
+	perSecond := flags.Int("log-lines", 200, "most log lines per second")
+	if err := flags.Parse(args); errors.Is(err, flag.ErrHelp) || err != nil {
+		return exitUsage
+	}
+	settings, err := platform.ReadSettings(*path)
+	if err != nil {
+		fmt.Fprintln(errs, "primrosethread mesh:", err)
+		return exitUsage
+	}
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
+	if os.Getenv("GOMEMLIMIT") == "" && settings.MemoryMB > 0 {
+		// Three quarters leave room for what is outside of the heap.
+		debug.SetMemoryLimit(int64(settings.MemoryMB) << 20 * 3 / 4)
+	}
+	writer := logs.New(logs.Config{Out: out, PerSecond: *perSecond})
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	ended := writer.Run(background)
+	defer func() {
+		stop()
+		<-ended
+	}()
+	logger := slog.New(slog.NewJSONHandler(writer, &slog.HandlerOptions{Level: level})).With("Host", settings.Host)
+	n, err := mesh.New(mesh.Config{Settings: *settings, Logger: logger, Version: version})
+	if err == nil {
+		err = n.Run(ctx)
+	}
+	if err != nil {
+		logger.Error("node ended", "Error", err)
+		return exitFailed
+	}
+	return exitOK
+}
--- a/errors.go
+++ b/errors.go
@@ -70,6 +70,8 @@
 	Reason Reason
 	Host   HostName
 	Sample Sample // zero when the refusal did not come from an owner
+	// RetryAfter is when the owner expects room; 0 if it does not tell.
+	RetryAfter time.Duration
 }
 
 // Error names the host, the reason and the remedy.
@@ -140,3 +142,7 @@
 func IsTimeout(err error) bool {
 	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
 }
+
+// ErrHistoryGone is the error of a Registry that no longer knows the changes
+// after a revision. The reader has to read everything again.
+var ErrHistoryGone = errors.New("the changes after this revision are no longer known; read everything again")
--- /dev/null
+++ b/mesh/loops.go
@@ -0,0 +1,204 @@
+package mesh
+
+import (
+	"context"
+	"time"
+
+	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/waits"
+)
+
+// The background work of a node. Each loop ends with its context and reports on
+// a channel.
+
+const (
+	// checkEvery is the time between two health checks. The slowdown of a
+	// server changes several times a second, and answers tell it only when
+	// they come.
+	checkEvery = 40 * time.Millisecond
+	// checkTimeout bounds a health check.
+	checkTimeout = 500 * time.Millisecond
+	// downAfter is the number of failed checks in a row after which the server
+	// is down.
+	downAfter = 2
+)
+
+// loop runs f until the context ends.
+func loop(ctx context.Context, f func(ctx context.Context)) <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		for ctx.Err() == nil {
+			f(ctx)
+		}
+		ended <- ctx.Err()
+	}()
+	return ended
+}
+
+// check asks the server for its health and load.
+func (n *Node) check(ctx context.Context) <-chan error {
+	failed := 0
+	return loop(ctx, func(ctx context.Context) {
+		r, err := n.server.Check(ctx, checkTimeout)
+		if err == nil {
+			failed = 0
+			n.admitter.Learn(r)
+		} else if failed++; failed >= downAfter {
+			n.admitter.Down(err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-n.checked:
+		case <-time.After(checkEvery):
+		}
+	})
+}
+
+// followServer watches the entry of whatever server runs on this host.
+func (n *Node) followServer(ctx context.Context) <-chan error {
+	return loop(ctx, func(ctx context.Context) {
+		id := n.admitter.Server()
+		if id == "" {
+			waits.Sleep(ctx, checkEvery)
+			return
+		}
+		n.leave(byEntry, false)
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		go func(ctx context.Context) {
+			defer cancel()
+			for ctx.Err() == nil && (n.admitter.Server() == id || n.admitter.Server() == "") {
+				waits.Sleep(ctx, checkEvery)
+			}
+		}(ctx)
+		n.roster.FollowServer(ctx, n.registry, id, n.c.Settings.Republished, func(on bool) { n.leave(byEntry, on) })
+	})
+}
+
+// followPlacement applies what is published to this host.
+func (n *Node) followPlacement(ctx context.Context) <-chan error {
+	return loop(ctx, func(ctx context.Context) {
+		changed := n.roster.Changed()
+		p := n.roster.Placement()
+		s := &n.c.Settings
+		n.leave(bySwitch, p.Out(s.DataCentre))
+		if rule := p.Service(s.Service); rule != nil {
+			n.server.SetHealthPath(rule.HealthPath)
+			n.client.SetConnections(rule.Connections)
+			n.admitter.SetRule(*rule)
+		}
+		if e := p.Host(s.Host); e != nil {
+			n.admitter.SetPublished(e.Slots)
+		}
+		n.relay.Retain(func(h prim.HostName) bool { return p.Host(h) != nil })
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	})
+}
+
+const (
+	// publishGap is the least time between two samples that are pushed.
+	publishGap = 20 * time.Millisecond
+	// publishEvery is the most, so that nodes keep believing the last one.
+	publishEvery = 200 * time.Millisecond
+)
+
+// publish pushes the load of the server to the nodes of this data centre when it
+// has changed much. Others get it with answers, since links between data centres
+// are dear.
+func (n *Node) publish(ctx context.Context) <-chan error {
+	var last prim.Sample
+	var at time.Time
+	near := func(h prim.HostName) bool {
+		e := n.roster.Placement().Host(h)
+		return e != nil && e.DataCentre == n.c.Settings.DataCentre
+	}
+	return loop(ctx, func(ctx context.Context) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.admitter.Changed():
+		case <-time.After(max(0, publishEvery-time.Since(at))):
+		}
+		s := n.stamp(n.admitter.Sample())
+		if !differs(s, last) && time.Since(at) < publishEvery {
+			return
+		}
+		n.peers.Publish(s, near)
+		last, at = s, time.Now()
+		waits.Sleep(ctx, publishGap)
+	})
+}
+
+// differs reports whether a sample would change the choice of a server.
+func differs(a, b prim.Sample) bool {
+	full := func(s prim.Sample) bool { return s.InFlight >= s.Limit || s.Cold && s.ColdRoom == 0 }
+	slow := func(s prim.Sample) bool { return s.Slowdown >= 2 }
+	return full(a) != full(b) || slow(a) != slow(b) || a.Leaving != b.Leaving || a.Cold != b.Cold ||
+		a.Failing != b.Failing || a.Routing != b.Routing || a.Switches != b.Switches
+}
+
+const (
+	// tendEvery is the time between two looks at the links.
+	tendEvery = 200 * time.Millisecond
+	// quiet and silent are when a host that owes an answer is asked for a sign
+	// of life, and when its links are given up.
+	quiet  = 400 * time.Millisecond
+	silent = 1200 * time.Millisecond
+	// fetchTimeout bounds the reading of another node's state.
+	fetchTimeout = time.Second
+)
+
+// tend keeps links to the servers of this data centre, closes silent ones, and
+// asks others for what is published while this node knows nothing.
+func (n *Node) tend(ctx context.Context) <-chan error {
+	return loop(ctx, func(ctx context.Context) {
+		p := n.roster.Placement()
+		for i := range p.Servers {
+			e := &p.Servers[i]
+			if e.Host != n.c.Settings.Host && e.DataCentre == n.c.Settings.DataCentre && !e.Draining {
+				n.peers.Connect(e.Host)
+			}
+		}
+		n.peers.Check(quiet, silent)
+		if p.Routing.Version == 0 || len(p.Servers) == 0 {
+			for _, h := range n.peers.Callers() {
+				n.behind(h)
+				break
+			}
+		}
+		waits.Sleep(ctx, tendEvery)
+	})
+}
+
+// behindGrace is how long this node waits for the registry before it asks
+// another node for a newer state.
+const behindGrace = 300 * time.Millisecond
+
+// behind fetches the state of a node that has something newer, unless a fetch is
+// under way.
+func (n *Node) behind(h prim.HostName) {
+	if !n.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	go func(ctx context.Context) {
+		defer n.fetching.Store(false)
+		waits.Sleep(ctx, behindGrace)
+		p := n.roster.Placement()
+		if p.Routing.Version > 0 && len(p.Servers) > 0 && !n.roster.Behind(n.newest(h)) {
+			return
+		}
+		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+		defer cancel()
+		if err := n.roster.Fetch(ctx, n.peers, h); err != nil {
+			n.log.Warn("state of another node not read", "Host", h, "Error", err)
+			return
+		}
+		n.log.Info("state of another node taken", "Host", h)
+	}(context.Background())
+}
+
+// newest returns the last sample of a host.
+func (n *Node) newest(h prim.HostName) prim.Sample { return n.relay.Last(h) }
--- /dev/null
+++ b/mesh/mesh.go
@@ -0,0 +1,248 @@
+// Package mesh assembles a node for the users' platform: the process beside each
+// server of a deployment whose routes, servers and switches are published in the
+// platform's store.
+package mesh
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/budget"
+	"github.com/primrosethread/primrosethread/owner"
+	"github.com/primrosethread/primrosethread/peers"
+	"github.com/primrosethread/primrosethread/platform"
+	"github.com/primrosethread/primrosethread/relay"
+	"github.com/primrosethread/primrosethread/roster"
+	"github.com/primrosethread/primrosethread/server"
+	"github.com/primrosethread/primrosethread/slots"
+	"github.com/primrosethread/primrosethread/stats"
+)
+
+// Config configures a Node.
+type Config struct {
+	Settings platform.Settings
+	Logger   *slog.Logger
+	Version  string
+}
+
+// Node is one process of the mesh.
+type Node struct {
+	c        Config
+	log      *slog.Logger
+	instance prim.Instance
+	store    *platform.Client
+	registry prim.Registry
+	roster   *roster.Roster
+	peers    *peers.Peers
+	client   *server.Client
+	server   *platform.Server
+	admitter *slots.Admitter
+	relay    *relay.Relay
+	front    *platform.Front
+	recorder *stats.Recorder
+	leaving  leaving
+	stopping atomic.Bool
+	asked    atomic.Int64  // readiness checks since the stop began
+	calls    atomic.Int64  // requests of callers in progress
+	fetching atomic.Bool   // the state of another node is being read
+	checked  chan struct{} // asks for a health check at once
+}
+
+// coldMargin is the share of the bound on cold servers that is used. The rest
+// covers requests that the server counts in another second than this node.
+const coldMargin = 0.9
+
+// repeatMargin is the share of the fleet's bound on repeats that nodes use, each
+// an equal part. The rest covers nodes that count different hosts.
+const repeatMargin = 0.4
+
+// New builds a node that serves nothing yet.
+func New(c Config) (*Node, error) {
+	s := &c.Settings
+	n := &Node{c: c, log: c.Logger, instance: prim.NewInstance(), recorder: stats.New(stats.Config{}), checked: make(chan struct{}, 1)}
+	n.store = platform.NewClient(s.Store.String())
+	n.registry = platform.NewRegistry(n.store, n.log)
+	n.roster = roster.New(roster.Config{Logger: n.log})
+	var err error
+	n.peers, err = peers.New(peers.Config{
+		Self:     s.Host,
+		Instance: n.instance,
+		Keyless:  true,
+		Resolve:  n.resolve,
+		Seen:     func(h prim.HostName, _ prim.Instance) { n.relay.Linked(h) },
+		Ended:    func(h prim.HostName) { n.relay.Unlinked(h) },
+		Carry:    func(s prim.Sample) (prim.Sample, bool) { return n.stamp(s), true },
+		Received: n.received,
+		Logger:   n.log,
+		// Links to hosts that lost power have to fail soon.
+		DialTimeout: dialTimeout,
+	})
+	if err != nil {
+		return nil, err
+	}
+	n.admitter = slots.New(slots.Config{
+		Host: s.Host, Service: s.Service, Logger: n.log,
+		ColdRate: func(rate float64) float64 { return coldMargin * (rate*s.ColdFactor + s.ColdExtra) },
+	})
+	n.client = server.New(server.Config{Host: s.Host, Address: s.Server, Plain: true, Belongs: platform.Belongs, IdleTimeout: serverIdle})
+	n.server = platform.NewServer(s.Host, n.client, n.admitter.Server, n.admitter.Learn)
+	n.peers.SetLocal(owner.New(owner.Config{Host: s.Host, Server: watched{n}, Admitter: n.admitter}))
+	n.peers.Handle(roster.KindState, n.roster.Handle)
+	n.relay = relay.New(relay.Config{
+		Host: s.Host, DataCentre: s.DataCentre, Placements: n.roster, Owners: n.peers, Links: n.peers,
+		Recorder: n.recorder, Logger: n.log, Budget: n.repeats,
+		Distance: distance, Detour: detour,
+	})
+	n.front = platform.NewFront(platform.FrontConfig{
+		Placements: n.roster, Caller: n.relay, Recorder: n.recorder, Logger: n.log,
+		Origin: s.Service, Leaving: n.stopping.Load,
+	})
+	return n, nil
+}
+
+const (
+	dialTimeout = 300 * time.Millisecond
+	// serverIdle is how long a connection to the server may be unused.
+	serverIdle = 4 * time.Second
+	// distance is one way to another data centre of the same region.
+	distance = 5 * time.Millisecond
+	// detour is what a kilobyte on a link between data centres is worth in
+	// time.
+	detour = 30 * time.Millisecond
+)
+
+// repeats returns the retry budget of a service at this node: its part of the
+// fleet's.
+func (n *Node) repeats() *budget.Budget {
+	s := &n.c.Settings
+	nodes := float64(max(1, n.roster.Placement().Hosts()))
+	extra := repeatMargin * s.RepeatExtra / nodes
+	// The bucket may hold the share of two windows, so half of it is used.
+	return budget.New(repeatMargin*s.RepeatShare, extra/2/s.RepeatWindow.Seconds(), max(1, extra/2))
+}
+
+// resolve returns the address of a host's node: hosts are named by their
+// address, and the port is the same everywhere.
+func (n *Node) resolve(h prim.HostName) (netip.AddrPort, bool) {
+	a, err := netip.ParseAddr(string(h))
+	return netip.AddrPortFrom(a, n.c.Settings.Peers.Port()), err == nil
+}
+
+// stamp adds the versions of what this node knows to a sample.
+func (n *Node) stamp(s prim.Sample) prim.Sample {
+	p := n.roster.Placement()
+	s.Routing, s.Switches = p.Routing.Version, p.Revision()
+	return s
+}
+
+// received takes a sample of another owner.
+func (n *Node) received(h prim.HostName, s prim.Sample) (prim.Sample, bool) {
+	n.relay.Observe(h, s)
+	if n.roster.Behind(s) {
+		n.behind(h)
+	}
+	return s, true
+}
+
+// watched tells the health check at once when the server broke a connection.
+type watched struct{ n *Node }
+
+// Do implements prim.Server.
+func (w watched) Do(ctx context.Context, r *prim.Request) (*prim.Answer, error) {
+	a, err := w.n.server.Do(ctx, r)
+	var lost *prim.Lost
+	var refusal *prim.Refusal
+	if errors.As(err, &lost) && lost.Reset || errors.As(err, &refusal) && refusal.Reason != prim.ReasonShed {
+		select {
+		case w.n.checked <- struct{}{}:
+		default:
+		}
+	}
+	return a, err
+}
+
+// Run serves until the context ends, then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	s := &n.c.Settings
+	var listeners [3]net.Listener
+	for i, l := range [...]struct {
+		what   string
+		at     netip.AddrPort
+		config net.ListenConfig
+	}{
+		{"callers", s.Callers, net.ListenConfig{}},
+		{"readiness and metrics", s.Ready, net.ListenConfig{}},
+		{"peers", s.Peers, peers.ListenConfig},
+	} {
+		var err error
+		if listeners[i], err = l.config.Listen(ctx, "tcp", l.at.String()); err != nil {
+			return fmt.Errorf("listen for %s: %w; free the address or change the settings", l.what, err)
+		}
+	}
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+
+	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	router.Handle(peers.Path, n.peers.Handler())
+	callers := &http.Server{Handler: n.counted(n.front), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	status := &http.Server{Handler: n.statusRoutes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	links := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
+	servers := [...]*http.Server{callers, status, links}
+	served := make(chan error, len(servers))
+	for i, v := range servers {
+		go func(context.Context) { served <- v.Serve(listeners[i]) }(ctx)
+	}
+	ended := []<-chan error{
+		n.roster.Follow(background, n.registry, s.Republished),
+		n.followServer(background),
+		n.followPlacement(background),
+		n.check(background),
+		n.publish(background),
+		n.tend(background),
+	}
+	n.log.Info("node started", "Service", s.Service, "DataCentre", s.DataCentre, "Callers", s.Callers, "Peers", s.Peers, "Instance", n.instance)
+
+	<-ctx.Done()
+	err := n.drain(callers)
+	links.Close()
+	n.peers.Close()
+	status.Close()
+	stop()
+	for _, e := range ended {
+		<-e
+	}
+	n.client.Close()
+	for range servers {
+		if e := <-served; !errors.Is(e, http.ErrServerClosed) {
+			err = errors.Join(err, e)
+		}
+	}
+	n.log.Info("node stopped", "Error", err)
+	return err
+}
+
+// Bounds on callers' connections. They are above what operators may publish for
+// a caller to take, so that no caller is cut off early.
+const (
+	headerTimeout = 15 * time.Second
+	idleTimeout   = 90 * time.Second
+)
+
+// counted counts the requests in progress.
+func (n *Node) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.calls.Add(1)
+		defer n.calls.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/mesh/status.go
@@ -0,0 +1,84 @@
+package mesh
+
+import (
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/peers"
+	"github.com/primrosethread/primrosethread/stats"
+)
+
+// Status is what one node sees.
+type Status struct {
+	Host       prim.HostName
+	DataCentre prim.DataCentre
+	Service    prim.Service
+	Instance   prim.Instance
+	Version    string
+	Stopping   bool
+	// Server is the start of the server beside this node, empty if it is down.
+	Server string
+	Load   prim.Sample
+	// Routing is the version of the routes, RoutingAgeMs the time since it was
+	// received, ServersAgeMs the time since the list of servers was confirmed.
+	Routing                    uint64
+	RoutingAgeMs, ServersAgeMs int64
+	Servers                    int
+	RegistryCalls              int64
+	Requests                   stats.Snapshot
+	Peers                      peers.Status
+}
+
+// Status returns the current state.
+func (n *Node) Status() Status {
+	p := n.roster.Placement()
+	routes, servers := n.roster.Ages(time.Now())
+	return Status{
+		Host: n.c.Settings.Host, DataCentre: n.c.Settings.DataCentre, Service: n.c.Settings.Service,
+		Instance: n.instance, Version: n.c.Version, Stopping: n.stopping.Load(),
+		Server: n.admitter.Server(), Load: n.admitter.Sample(),
+		Routing: p.Routing.Version, RoutingAgeMs: routes.Milliseconds(), ServersAgeMs: servers.Milliseconds(),
+		Servers: len(p.Servers), RegistryCalls: n.store.Calls(),
+		Requests: n.recorder.Snapshot(), Peers: n.peers.Status(),
+	}
+}
+
+// ready reports whether clients may send requests here.
+func (n *Node) ready() bool {
+	p := n.roster.Placement()
+	return p.Routing.Version > 0 && len(p.Servers) > 0 && !n.stopping.Load()
+}
+
+func (n *Node) statusRoutes() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if n.stopping.Load() {
+			n.asked.Add(1)
+		}
+		if !n.ready() {
+			http.Error(w, "routes or servers are missing, or the node is stopping; see /status", http.StatusServiceUnavailable)
+		}
+	})
+	r.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(n.Status())
+	})
+	r.HandleFunc("/debug/vars", n.vars)
+	return r
+}
+
+// vars writes the variables of expvar and this node's own.
+func (n *Node) vars(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	vars := map[string]json.RawMessage{}
+	if b, err := json.Marshal(n.Status()); err == nil {
+		vars["Node"] = b
+	}
+	expvar.Do(func(kv expvar.KeyValue) { vars[kv.Key] = json.RawMessage(kv.Value.String()) })
+	json.NewEncoder(w).Encode(vars)
+}
--- a/peers/accept.go
+++ b/peers/accept.go
@@ -17,7 +17,7 @@
 // accept upgrades the connection of another node after checking its proof, and
 // serves its frames until the link ends.
 func (p *Peers) accept(w http.ResponseWriter, r *http.Request) {
-	from, err := verify(p.c.Key, r.Header, p.c.Self, time.Now())
+	from, err := p.identify(r.Header)
 	if err != nil {
 		p.c.Logger.Warn("peer refused", "Remote", r.RemoteAddr, "Error", err)
 		http.Error(w, err.Error(), http.StatusUnauthorized)
@@ -48,13 +48,23 @@
 		credits:  make(map[uint64]chan struct{}),
 		reserved: make(map[uint64]prim.Reservation),
 	}
+	p.listen(a)
 	err = a.serve(p.ctx)
+	p.unlisten(a)
 	var malformed *wire.Malformed
 	if errors.As(err, &malformed) {
 		p.c.Logger.Warn("link closed", "Host", from, "Error", err)
 	}
 }
 
+// identify returns the host that dials, after checking its proof.
+func (p *Peers) identify(h http.Header) (prim.HostName, error) {
+	if p.c.Keyless {
+		return prim.HostName(h.Get(headerHost)), nil
+	}
+	return verify(p.c.Key, h, p.c.Self, time.Now())
+}
+
 // acceptor answers the calls that another node sends on one link.
 type acceptor struct {
 	*link
--- a/peers/group.go
+++ b/peers/group.go
@@ -134,7 +134,11 @@
 			break
 		}
 	}
+	last := len(g.links) == 0
 	g.mu.Unlock()
+	if last {
+		g.p.c.Ended(g.host)
+	}
 	l.fail()
 	g.p.dialled.Add(-1)
 	if ctx.Err() == nil {
@@ -148,9 +152,9 @@
 	if !ok {
 		return nil, fmt.Errorf("host %q is not in the host list; check the list's version in status", host)
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, p.c.DialTimeout)
 	defer cancel()
-	proof := prove(p.c.Key, p.c.Self, p.c.Instance, host, time.Now())
+	proof := p.prove(host)
 	conn, resp, err := websocket.Dial(ctx, "ws://"+addr.String()+Path, &websocket.DialOptions{
 		HTTPHeader: http.Header{
 			headerProof:    {proof},
@@ -158,12 +162,13 @@
 			headerInstance: {p.c.Instance.String()},
 		},
 		CompressionMode: websocket.CompressionDisabled,
+		HTTPClient:      p.client,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("dial host %q at %s: %w", host, addr, err)
 	}
 	var instance prim.Instance
-	if err := instance.UnmarshalText([]byte(resp.Header.Get(headerInstance))); err != nil || resp.Header.Get(headerProof) != countersign(p.c.Key, host, instance, proof) {
+	if err := instance.UnmarshalText([]byte(resp.Header.Get(headerInstance))); err != nil || !p.proved(resp.Header, host, instance, proof) {
 		conn.CloseNow()
 		return nil, fmt.Errorf("host %q at %s did not prove the fleet key; check the address in the host list", host, addr)
 	}
--- a/peers/link.go
+++ b/peers/link.go
@@ -28,6 +28,7 @@
 	done     chan struct{} // closed when the reader has ended
 
 	calls atomic.Int64 // unanswered calls, on dialled links
+	heard atomic.Int64 // when the last frame came, in nanoseconds since epoch
 	mu    sync.Mutex
 	// pending holds the unanswered calls by id; nil once the link is closed.
 	pending map[uint64]*call
@@ -36,7 +37,7 @@
 
 func newLink(p *Peers, conn *websocket.Conn, host prim.HostName) *link {
 	conn.SetReadLimit(wire.MaxFrame)
-	return &link{
+	l := &link{
 		p:       p,
 		conn:    conn,
 		host:    host,
@@ -44,8 +45,13 @@
 		done:    make(chan struct{}),
 		pending: make(map[uint64]*call),
 	}
+	l.heard.Store(int64(time.Since(epoch)))
+	return l
 }
 
+// epoch is the zero of heard, which counts on the monotonic clock.
+var epoch = time.Now()
+
 var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 4096); return &b }}
 
 // maxPooled is the largest buffer that is kept for reuse.
@@ -100,6 +106,7 @@
 			return err
 		}
 		l.p.bytesIn.Add(int64(len(scratch)))
+		l.heard.Store(int64(time.Since(epoch)))
 		h, body, err := wire.Split(scratch)
 		if err != nil {
 			return err
@@ -192,6 +199,12 @@
 
 // deliver hands a frame of the other side to the call that it answers.
 func (l *link) deliver(h *wire.Header, body []byte) error {
+	if h.Type == wire.Load {
+		if h.Sample != nil {
+			l.p.c.Received(l.host, *h.Sample)
+		}
+		return nil
+	}
 	l.mu.Lock()
 	c := l.pending[h.ID]
 	if c == nil {
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -25,10 +25,10 @@
 	DefaultLinksPerHost = 4
 	DefaultMaxCalls     = 4096
 	DefaultMaxLinks     = 4096
+	DefaultDialTimeout  = time.Second
 	// writeTimeout closes a link whose peer does not read. A frozen peer must
 	// not hold up calls that could go elsewhere.
 	writeTimeout = 250 * time.Millisecond
-	dialTimeout  = time.Second
 	minBackoff   = 50 * time.Millisecond
 	maxBackoff   = 2 * time.Second
 	// linkLoad is the number of unanswered calls on every link to a host
@@ -42,6 +42,9 @@
 	Instance prim.Instance
 	// Key is the fleet key. Peers without it are refused.
 	Key []byte
+	// Keyless accepts peers without a proof. It is for networks that only the
+	// fleet's hosts can reach and where no secret can be handed to a node.
+	Keyless bool
 	// Resolve returns the address of a host's node.
 	Resolve func(prim.HostName) (netip.AddrPort, bool)
 	// Local runs the requests that other nodes send to this one.
@@ -53,12 +56,16 @@
 	// measuring load. If they are nil every sample is sent and used.
 	Carry    func(prim.Sample) (prim.Sample, bool)
 	Received func(prim.HostName, prim.Sample) (prim.Sample, bool)
-	Logger   *slog.Logger
+	// Ended is told when the last dialled link to a host has ended; it may be nil.
+	Ended  func(prim.HostName)
+	Logger *slog.Logger
 	// LinksPerHost bounds the links to one host; 0 means DefaultLinksPerHost.
 	LinksPerHost int
 	// MaxLinks bounds the open links in both directions; 0 means
 	// DefaultMaxLinks.
 	MaxLinks int
+	// DialTimeout bounds the opening of a link; 0 means DefaultDialTimeout.
+	DialTimeout time.Duration
 	// MaxCalls bounds the unanswered calls that one link may bring; 0 means
 	// DefaultMaxCalls.
 	MaxCalls int
@@ -77,8 +84,10 @@
 	closing sync.Once
 	workers *workers
 
-	mu     sync.RWMutex
-	groups map[prim.HostName]*group
+	mu        sync.RWMutex
+	groups    map[prim.HostName]*group
+	listeners map[*acceptor]struct{} // links that other nodes have dialled
+	client    *http.Client           // dials
 
 	dialled  atomic.Int64
 	accepted atomic.Int64
@@ -89,7 +98,7 @@
 
 // New returns Peers that dial nothing yet.
 func New(c Config) (*Peers, error) {
-	if len(c.Key) < MinKey {
+	if len(c.Key) < MinKey && !c.Keyless {
 		return nil, fmt.Errorf("fleet key has %d bytes; give at least %d", len(c.Key), MinKey)
 	}
 	if c.LinksPerHost == 0 {
@@ -98,6 +107,9 @@
 	if c.MaxCalls == 0 {
 		c.MaxCalls = DefaultMaxCalls
 	}
+	if c.DialTimeout == 0 {
+		c.DialTimeout = DefaultDialTimeout
+	}
 	if c.MaxLinks == 0 {
 		c.MaxLinks = DefaultMaxLinks
 	}
@@ -110,19 +122,28 @@
 	if c.Received == nil {
 		c.Received = func(_ prim.HostName, s prim.Sample) (prim.Sample, bool) { return s, true }
 	}
+	if c.Ended == nil {
+		c.Ended = func(prim.HostName) {}
+	}
 	if c.Seen == nil {
 		c.Seen = func(prim.HostName, prim.Instance) {}
 	}
 	ctx, stop := context.WithCancel(context.Background())
+	pong := func(context.Context, prim.HostName, prim.Message) (prim.Message, error) {
+		return prim.Message{Kind: KindPing}, nil
+	}
 	return &Peers{
 		c:        c,
 		ctx:      ctx,
 		stop:     stop,
-		handlers: make(map[prim.Kind]prim.Handler),
+		handlers: map[prim.Kind]prim.Handler{KindPing: pong},
 		local:    c.Local,
 		running:  make(chan struct{}, c.MaxLinks),
 		workers:  newWorkers(ctx),
 		groups:   make(map[prim.HostName]*group),
+
+		listeners: make(map[*acceptor]struct{}),
+		client:    newDialer(),
 	}, nil
 }
 
--- a/peers/proof.go
+++ b/peers/proof.go
@@ -76,3 +76,16 @@
 func countersign(key []byte, self prim.HostName, i prim.Instance, proof string) string {
 	return sign(key, "accept", string(self), i.String(), proof)
 }
+
+// prove returns the proof for a dial to host; it is empty without keys.
+func (p *Peers) prove(host prim.HostName) string {
+	if p.c.Keyless {
+		return ""
+	}
+	return prove(p.c.Key, p.c.Self, p.c.Instance, host, time.Now())
+}
+
+// proved reports whether the accepting side has proved the key.
+func (p *Peers) proved(h http.Header, host prim.HostName, i prim.Instance, proof string) bool {
+	return p.c.Keyless || h.Get(headerProof) == countersign(p.c.Key, host, i, proof)
+}
--- a/ports.go
+++ b/ports.go
@@ -161,3 +161,37 @@
 	// Count adds to a named counter.
 	Count(name string, n int64)
 }
+
+// Placements gives the routes, switches and servers in force at this node.
+type Placements interface {
+	// Placement returns what is in force. It is never nil; before anything was
+	// published it is empty.
+	Placement() *Placement
+	// Changed returns a channel that is closed when Placement next changes.
+	Changed() <-chan struct{}
+}
+
+// Registry reads what operators and servers publish on a platform that tells
+// its changes. Revisions count the changes of the whole registry.
+type Registry interface {
+	// Operators returns everything that operators have published, as of a
+	// revision. A switch that is absent is not out.
+	Operators(ctx context.Context) (OperatorState, uint64, error)
+	// OperatorChanges waits for changes after a revision. The error is
+	// ErrHistoryGone when they are no longer known.
+	OperatorChanges(ctx context.Context, after uint64, wait time.Duration) (OperatorState, uint64, error)
+	// Servers returns the entries of all servers. A stale list is cheap and
+	// may be seconds old.
+	Servers(ctx context.Context, stale bool) ([]ServerEntry, uint64, error)
+	// Server returns the entry of one server, nil if there is none.
+	Server(ctx context.Context, id string) (*ServerEntry, uint64, error)
+	// ServerChanges waits for changes of one server's entry after a revision.
+	// It reports changed = false if there were none; a nil entry was removed.
+	ServerChanges(ctx context.Context, id string, after uint64, wait time.Duration) (e *ServerEntry, changed bool, at uint64, err error)
+}
+
+// OperatorState is what operators have published or changed.
+type OperatorState struct {
+	Routing  *Routing // nil if there is none, or no newer one
+	Switches []CentreSwitch
+}
--- /dev/null
+++ b/relay/choose.go
@@ -0,0 +1,113 @@
+package relay
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	prim "github.com/primrosethread/primrosethread"
+)
+
+// A server is ranked by the time after which it is expected to answer: the way
+// there and back, the wait for a slot, and the service time with the slowdown
+// that the server reports and the one that was observed. Servers of other data
+// centres carry a surcharge for the bytes, so that they are used only when the
+// near ones would answer much later.
+
+const (
+	// unknownSlowdown stands for a server whose slowdown is not known.
+	unknownSlowdown = 1.5
+	// coldSlowdown stands for what a cold server loses.
+	coldSlowdown = 2.0
+	// loadWeight is how much a full server is expected to be slower than an
+	// idle one. It spreads requests among servers that are equal otherwise.
+	loadWeight = 0.5
+	// failurePenalty is the surcharge for a server that fails all requests, in
+	// units of the service time.
+	failurePenalty = 20.0
+	// dialPenalty is charged for a host without a link, in ways to it.
+	dialPenalty = 4
+	// spread is the share by which ranks are varied at random, so that nodes
+	// with the same samples do not all choose the same server.
+	spread = 0.1
+	// defaultUsual stands for the service time of a class that has none yet.
+	defaultUsual = 50 * time.Millisecond
+)
+
+// choose returns the host that is expected to answer first, and whether the
+// request would have to wait for a slot there.
+func (k *call) choose(now time.Time) (best *host, rank time.Duration, busy bool) {
+	p := k.r.c.Placements.Placement()
+	first := math.Inf(1)
+	for _, e := range p.InService(k.request.Service) {
+		if slices.Contains(k.ran, e.Host) {
+			continue
+		}
+		h := k.r.host(e.Host)
+		v, wait, ok := k.rank(now, h, e)
+		if !ok {
+			continue
+		}
+		v *= 1 + spread*rand.Float64()
+		if v < first {
+			best, first, busy = h, v, wait
+		}
+	}
+	if best == nil {
+		return nil, 0, false
+	}
+	return best, time.Duration(first * float64(time.Second)), busy
+}
+
+// rank returns the expected time of an answer in seconds and whether the request
+// would have to wait for a slot. It reports false if the host is not to be used.
+func (k *call) rank(now time.Time, h *host, e *prim.ServerEntry) (v float64, busy, ok bool) {
+	c := &k.r.c
+	own := e.Host == c.Host
+	pending := float64(h.pending.Load())
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s, age := h.sample, now.Sub(h.at)
+	if own {
+		s, age = c.Owners.Owner(e.Host).Sample(), 0
+	} else if now.Before(h.down) {
+		return 0, false, false
+	}
+	known := (own || !h.at.IsZero()) && age < heldFor
+	if known && s.Leaving {
+		return 0, false, false
+	}
+	usual := k.class.expected()
+	if usual == 0 {
+		usual = defaultUsual
+	}
+	limit := max(1, 0.8*float64(e.Slots))
+	load := pending
+	slowdown := unknownSlowdown
+	if known {
+		limit = max(1, float64(s.Limit))
+		load = max(pending, float64(s.InFlight+s.Queued))
+		if age < freshFor && s.Slowdown > 0 {
+			slowdown = s.Slowdown
+		}
+		if s.Cold {
+			slowdown *= coldSlowdown
+			busy = s.ColdRoom == 0 && age < freshFor
+		}
+	}
+	busy = busy || load >= limit
+	work := usual.Seconds() * slowdown * math.Exp(fade(h.slower, now.Sub(h.slowAt)))
+	v = work * (1 + loadWeight*load/limit + max(0, load+1-limit)/limit)
+	v += failurePenalty * usual.Seconds() * (fade(h.failing, now.Sub(h.failAt)) + s.Failing)
+	if busy && s.Cold {
+		v += usual.Seconds()
+	}
+	if e.DataCentre != c.DataCentre {
+		v += 2*c.Distance.Seconds() + c.Detour.Seconds()*k.class.kilobytes()
+	}
+	if !own && !c.Links.Linked(e.Host) {
+		v += dialPenalty * max(c.Distance, time.Millisecond).Seconds()
+	}
+	return v, busy, true
+}
--- a/request.go
+++ b/request.go
@@ -53,6 +53,24 @@
 	// Deadline is on this process's clock; it crosses the network as a
 	// remaining duration.
 	Deadline time.Time
+	// ID identifies the request in logs and towards the server; empty if the
+	// caller gave none.
+	ID string
+	// Authority is the HTTP host that the caller named; empty means that of
+	// the server.
+	Authority string
+	// Origin is the service beside whose server the request began.
+	Origin Service
+	// Priority orders waiting requests; 0 is the most urgent.
+	Priority int
+	// Objective is the time by which an answer is of full use, on the clock of
+	// Deadline; zero if there is none.
+	Objective time.Time
+	// Patience is how long the owner may keep the request waiting for a slot.
+	Patience time.Duration
+	// Attempts is the number of servers that may get the request; 0 means no
+	// bound.
+	Attempts int
 }
 
 // Answer is what a server returned for a request.
@@ -95,6 +113,20 @@
 	Latency  time.Duration `cbor:"5,keyasint,omitempty"` // estimate at InFlight
 	Failing  float64       `cbor:"6,keyasint,omitempty"` // share of recent requests that failed
 	Leaving  bool          `cbor:"7,keyasint,omitempty"`
+	// Slowdown is how many times as long as usual work takes at the server at
+	// this moment; 0 if the server does not tell.
+	Slowdown float64 `cbor:"8,keyasint,omitempty"`
+	// Cold is set while the server is warming up. ColdRoom is the number of
+	// requests that it may be given at once before the bound on cold servers
+	// holds them back.
+	Cold     bool `cbor:"9,keyasint,omitempty"`
+	ColdRoom int  `cbor:"10,keyasint,omitempty"`
+	// Service is what the server runs; empty if the owner does not tell.
+	Service Service `cbor:"11,keyasint,omitempty"`
+	// Routing is the version of the routes that the owner has.
+	Routing uint64 `cbor:"12,keyasint,omitempty"`
+	// Switches is the revision of the newest switch of a data centre there.
+	Switches uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // Attempt is the end of one attempt, as observed by whoever made it.
--- a/retry/queue.go
+++ b/retry/queue.go
@@ -3,6 +3,8 @@
 import (
 	"container/heap"
 	"time"
+
+	"github.com/primrosethread/primrosethread/budget"
 )
 
 // A queue holds the requests of one service that wait to make another attempt.
@@ -54,11 +56,11 @@
 
 // release lets waiters go while the budget has tokens. It returns the time
 // until it should be called again, and false if nobody waits.
-func (q *queue) release(now time.Time, b *budget) (time.Duration, bool) {
+func (q *queue) release(now time.Time, b *budget.Budget) (time.Duration, bool) {
 	for len(q.sleeping.all) > 0 && !q.sleeping.all[0].after.After(now) {
 		heap.Push(&q.ready, heap.Pop(&q.sleeping))
 	}
-	for len(q.ready.all) > 0 && b.take(now) {
+	for len(q.ready.all) > 0 && b.Take(now) {
 		close(heap.Pop(&q.ready).(*waiter).released)
 	}
 	if q.len() == 0 {
@@ -66,7 +68,7 @@
 	}
 	next := time.Duration(1<<63 - 1)
 	if len(q.ready.all) > 0 {
-		next = b.ready(now)
+		next = b.Ready(now)
 	}
 	if len(q.sleeping.all) > 0 {
 		next = min(next, q.sleeping.all[0].after.Sub(now))
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/budget"
 )
 
 func request(path string, idempotent bool, timeout time.Duration) *prim.Request {
@@ -254,7 +255,7 @@
 			t.Fatalf("%d of %d wait", q.len(), len(deadlines))
 		}
 		now, tokens := rapid.IntRange(0, 10).Draw(t, "now"), rapid.IntRange(0, 12).Draw(t, "tokens")
-		q.release(at(now), newBudget(0, 0, float64(tokens)))
+		q.release(at(now), budget.New(0, 0, float64(tokens)))
 		slices.SortFunc(all, func(a, b *waiter) int { return a.deadline.Compare(b.deadline) })
 		for _, w := range all {
 			want := !w.after.After(at(now)) && tokens > 0
--- a/retry/service.go
+++ b/retry/service.go
@@ -6,6 +6,7 @@
 	"time"
 
 	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/budget"
 	"github.com/primrosethread/primrosethread/waits"
 )
 
@@ -17,7 +18,7 @@
 	mu      sync.Mutex
 	lost    lane // requests whose last attempt may have reached a server
 	refused lane // requests whose last attempt did not
-	hedges  *budget
+	hedges  *budget.Budget
 	classes map[prim.Class]*latencies
 }
 
@@ -27,7 +28,7 @@
 // for both, a few owners that refuse for a moment leave no retries, and
 // requests run into their deadline while servers are idle.
 type lane struct {
-	budget *budget
+	budget *budget.Budget
 	queue  *queue
 	timer  *time.Timer // calls release; nil while nobody waits
 }
@@ -39,16 +40,16 @@
 	v, _ := c.services.LoadOrStore(name, &service{
 		config: &c.config,
 		lost: lane{
-			budget: newBudget(c.config.RetryShare, c.config.RetryFloor, c.config.RetryBurst),
+			budget: budget.New(c.config.RetryShare, c.config.RetryFloor, c.config.RetryBurst),
 			queue:  newQueue(c.config.Queue),
 		},
 		refused: lane{
-			budget: newBudget(c.config.RefusalShare, c.config.RefusalFloor, c.config.RefusalBurst),
+			budget: budget.New(c.config.RefusalShare, c.config.RefusalFloor, c.config.RefusalBurst),
 			queue:  newQueue(c.config.Queue),
 		},
 		// Hedges have no floor: an attempt that is late without a hedge is
 		// replaced under the retry budget in the end.
-		hedges:  newBudget(c.config.HedgeShare, 0, 1),
+		hedges:  budget.New(c.config.HedgeShare, 0, 1),
 		classes: make(map[prim.Class]*latencies),
 	})
 	return v.(*service)
@@ -59,9 +60,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.hedges.first(now)
+	s.hedges.First(now)
 	for _, l := range []*lane{&s.lost, &s.refused} {
-		l.budget.first(now)
+		l.budget.First(now)
 		if l.timer != nil {
 			s.release(l, now)
 		}
@@ -71,14 +72,14 @@
 func (s *service) takeHedge() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.hedges.take(time.Now())
+	return s.hedges.Take(time.Now())
 }
 
 // takeRetry takes from the retry budget unless others wait for it.
 func (s *service) takeRetry() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.lost.queue.ready.all) == 0 && s.lost.budget.take(time.Now())
+	return len(s.lost.queue.ready.all) == 0 && s.lost.budget.Take(time.Now())
 }
 
 // wait returns nil when the request may make another attempt, not before the
@@ -111,7 +112,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !l.queue.remove(w) {
-		l.budget.giveBack()
+		l.budget.GiveBack()
 		s.release(l, time.Now())
 	}
 	return ctx.Err()
--- a/server/pool.go
+++ b/server/pool.go
@@ -23,6 +23,7 @@
 	r    *bufio.Reader
 	w    *bufio.Writer
 	used time.Time
+	idle time.Duration // how long it may be unused
 }
 
 // get returns a connection that was alive a moment ago. Nothing has been sent
@@ -44,7 +45,7 @@
 		c.idle[n-1] = nil
 		c.idle = c.idle[:n-1]
 		c.mu.Unlock()
-		if time.Since(k.used) < c.c.IdleTimeout && k.alive() {
+		if time.Since(k.used) < k.idle && k.alive() {
 			return k, nil
 		}
 		c.drop(k)
@@ -61,9 +62,10 @@
 		return nil, c.refuse(prim.ReasonUnreachable)
 	}
 	return &connection{
-		net: conn,
-		r:   bufio.NewReaderSize(conn, bufferSize),
-		w:   bufio.NewWriterSize(conn, bufferSize),
+		idle: c.c.IdleTimeout,
+		net:  conn,
+		r:    bufio.NewReaderSize(conn, bufferSize),
+		w:    bufio.NewWriterSize(conn, bufferSize),
 	}, nil
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -10,6 +10,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -19,6 +20,7 @@
 	"net/netip"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -52,6 +54,13 @@
 	Connections int
 	DialTimeout time.Duration // 0 means DefaultDialTimeout
 	IdleTimeout time.Duration // 0 means DefaultIdleTimeout
+	// Plain sends the headers of a request as they are, under the request's
+	// Authority, and leaves the reading of refusals to the caller.
+	Plain bool
+	// Belongs reports whether an answer belongs to a request; nil means that
+	// every answer does. One that does not is skipped: servers may send a late
+	// second answer where the next one is due.
+	Belongs func(r *prim.Request, answer http.Header) bool
 }
 
 // Client implements prim.Server.
@@ -132,7 +141,7 @@
 	if answer.Rest == nil {
 		c.put(k, keep)
 	}
-	if answer.Status == http.StatusServiceUnavailable && answer.Header.Get(HeaderShed) == "true" && answer.Rest == nil {
+	if !c.c.Plain && answer.Status == http.StatusServiceUnavailable && answer.Header.Get(HeaderShed) == "true" && answer.Rest == nil {
 		return nil, c.refuse(prim.ReasonShed)
 	}
 	return answer, nil
@@ -151,18 +160,16 @@
 		stop()
 		return nil, false, c.lost(ctx, err)
 	}
-	resp, err := readResponse(k.r, req)
+	resp, body, whole, err := c.receive(k, r, req)
 	if err != nil {
 		stop()
 		return nil, false, c.lost(ctx, err)
 	}
-	body, whole, err := collect(resp)
-	if err != nil {
-		stop()
-		return nil, false, c.lost(ctx, err)
-	}
-	strip(resp.Header)
+	defer strip(resp.Header)
 	answer := &prim.Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}
+	if kept := keepAlive(resp.Header); kept > 0 {
+		k.idle = kept / 2
+	}
 	keep := !resp.Close
 	if whole {
 		// A stop that comes too late has set a deadline in the past.
@@ -173,6 +180,45 @@
 	return answer, keep, nil
 }
 
+// receive reads the answer that belongs to the request.
+func (c *Client) receive(k *connection, r *prim.Request, req *http.Request) (*http.Response, []byte, bool, error) {
+	const most = 3
+	for range most {
+		resp, err := readResponse(k.r, req)
+		if err != nil {
+			return nil, nil, false, err
+		}
+		body, whole, err := collect(resp)
+		if err != nil {
+			return nil, nil, false, err
+		}
+		if c.c.Belongs == nil || c.c.Belongs(r, resp.Header) {
+			return resp, body, whole, nil
+		}
+		if !whole || resp.Close {
+			return nil, nil, false, errForeign
+		}
+	}
+	return nil, nil, false, errForeign
+}
+
+var errForeign = errors.New("the answer belongs to another request")
+
+// keepAlive returns how long the server keeps an idle connection, 0 if it does
+// not tell.
+func keepAlive(h http.Header) time.Duration {
+	for _, f := range strings.Split(h.Get("Keep-Alive"), ",") {
+		if v, ok := strings.CutPrefix(strings.TrimSpace(f), "timeout="); ok {
+			n, err := strconv.Atoi(v)
+			if err != nil || n < 0 {
+				return 0
+			}
+			return time.Duration(n) * time.Second
+		}
+	}
+	return 0
+}
+
 // readResponse skips informational answers, such as 100 Continue.
 func readResponse(r *bufio.Reader, req *http.Request) (*http.Response, error) {
 	const most = 5
@@ -217,12 +263,14 @@
 		header[k] = v
 	}
 	strip(header)
-	header[HeaderTimeout] = []string{strconv.FormatInt(max(time.Until(r.Deadline).Milliseconds(), 1), 10)}
-	header[HeaderCustomer] = []string{string(r.Customer)}
+	if !c.c.Plain {
+		header[HeaderTimeout] = []string{strconv.FormatInt(max(time.Until(r.Deadline).Milliseconds(), 1), 10)}
+		header[HeaderCustomer] = []string{string(r.Customer)}
+	}
 	req := &http.Request{
 		Method:     r.Method,
 		URL:        requestURL(r.Path),
-		Host:       c.name,
+		Host:       cmp.Or(r.Authority, c.name),
 		Proto:      "HTTP/1.1",
 		ProtoMajor: 1,
 		ProtoMinor: 1,
--- /dev/null
+++ b/slots/gate.go
@@ -0,0 +1,354 @@
+package slots
+
+import (
+	"slices"
+	"time"
+
+	prim "github.com/primrosethread/primrosethread"
+)
+
+// The gate is the state machine behind the Admitter. It has no goroutine, lock or
+// clock; every method takes the current time.
+
+const (
+	// coldWindow is the span over which the rate of a cold server is counted.
+	coldWindow = time.Second
+	// slowdownKeep is how long a reported slowdown is believed.
+	slowdownKeep = 250 * time.Millisecond
+	// slow is the slowdown from which on it pays to wait for a better moment.
+	slow = 2.0
+	// holdStep is how soon a request that waits for a better moment is looked
+	// at again if the server reports nothing.
+	holdStep = 20 * time.Millisecond
+	// maxWaiting bounds the queue, in requests per slot.
+	maxWaiting = 4
+	// minRetryAfter is the shortest time that a refusal asks a caller to wait.
+	minRetryAfter = 20 * time.Millisecond
+)
+
+// ticket is one request at the gate. Its fields are set before wake is closed
+// and not changed until done is called.
+type ticket struct {
+	request *prim.Request
+	refusal *prim.Refusal // nil if the request was admitted
+	wake    chan struct{}
+	decided bool
+	offered time.Time
+	begun   time.Time
+	pace    float64 // slowdown when it began
+}
+
+type gate struct {
+	c         Config
+	server    string // id of the server's current start; empty while it is down
+	healthy   bool
+	leaving   bool
+	published int
+	slots     int
+	rule      prim.ServiceRule
+	slowdown  float64
+	slowedAt  time.Time
+	coldUntil time.Time
+	running   int
+	starts    []time.Time // within coldWindow, oldest first
+	queue     []*ticket   // most urgent first
+	decided   []*ticket
+	usual     map[prim.Class]time.Duration // service time without slowdown
+	overall   time.Duration                // mean of usual, weighted by use
+}
+
+func newGate(c Config) gate {
+	return gate{c: c, usual: make(map[prim.Class]time.Duration)}
+}
+
+// limit returns the number of requests that may run at once.
+func (g *gate) limit() int {
+	n := g.slots
+	if n == 0 {
+		n = g.published
+	}
+	return max(1, int(g.c.FullShare*float64(n)+1e-9))
+}
+
+// cold reports whether the server is warming up.
+func (g *gate) cold(now time.Time) bool { return now.Before(g.coldUntil) }
+
+// coldRoom returns how many requests a cold server may get at once.
+func (g *gate) coldRoom(now time.Time) int {
+	g.expireStarts(now)
+	if g.rule.WarmUpRate <= 0 {
+		return g.limit()
+	}
+	return max(0, int(g.c.ColdRate(g.rule.WarmUpRate))-len(g.starts))
+}
+
+func (g *gate) expireStarts(now time.Time) {
+	n := 0
+	for n < len(g.starts) && now.Sub(g.starts[n]) >= coldWindow {
+		n++
+	}
+	g.starts = slices.Delete(g.starts, 0, n)
+}
+
+// pace returns the current slowdown, 1 if it is not known.
+func (g *gate) pace(now time.Time) float64 {
+	if g.slowdown > 0 && now.Sub(g.slowedAt) < slowdownKeep {
+		return g.slowdown
+	}
+	return 1
+}
+
+// expected returns how long a request usually runs without slowdown.
+func (g *gate) expected(r *prim.Request) time.Duration {
+	if d, ok := g.usual[r.Class]; ok {
+		return d
+	}
+	return g.overall
+}
+
+// free reports whether a request may begin now.
+func (g *gate) free(now time.Time) bool {
+	return g.running < g.limit() && (!g.cold(now) || g.coldRoom(now) > 0)
+}
+
+// offer admits, queues or refuses a new ticket.
+func (g *gate) offer(now time.Time, t *ticket) {
+	t.offered = now
+	r := t.request
+	switch {
+	case r.Service != g.c.Service:
+		g.refuse(now, t, prim.ReasonInstance, 0)
+	case g.leaving:
+		g.refuse(now, t, prim.ReasonLeaving, 0)
+	case g.server == "":
+		g.refuse(now, t, prim.ReasonUnreachable, 0)
+	case !r.Deadline.After(now):
+		g.refuse(now, t, prim.ReasonExpired, 0)
+	case len(g.queue) == 0 && g.free(now) && !g.hold(now, t):
+		g.begin(now, t)
+	case r.Patience <= 0, len(g.queue) >= maxWaiting*g.limit():
+		g.refuse(now, t, prim.ReasonBusy, g.wait(now, t))
+	default:
+		i, _ := slices.BinarySearchFunc(g.queue, t, compare)
+		g.queue = slices.Insert(g.queue, i, t)
+	}
+}
+
+// compare orders tickets by priority, then by the time at which an answer stops
+// being of full use.
+func compare(a, b *ticket) int {
+	if d := a.request.Priority - b.request.Priority; d != 0 {
+		return d
+	}
+	if d := due(a).Compare(due(b)); d != 0 {
+		return d
+	}
+	return a.offered.Compare(b.offered)
+}
+
+func due(t *ticket) time.Time {
+	if t.request.Objective.IsZero() {
+		return t.request.Deadline
+	}
+	return t.request.Objective
+}
+
+// hold reports whether a request gains by waiting: the server is slowed down,
+// and once that ends there is still time to meet the objective.
+func (g *gate) hold(now time.Time, t *ticket) bool {
+	p := g.pace(now)
+	if p < slow || t.request.Objective.IsZero() {
+		return false
+	}
+	e := g.expected(t.request)
+	if now.Add(time.Duration(p * float64(e))).Before(t.request.Objective) {
+		return false
+	}
+	return now.Add(holdStep + e).Before(t.request.Objective)
+}
+
+// wait estimates the time until a new ticket could begin.
+func (g *gate) wait(now time.Time, t *ticket) time.Duration {
+	ahead := 0
+	for _, q := range g.queue {
+		if compare(q, t) <= 0 {
+			ahead++
+		}
+	}
+	e := time.Duration(g.pace(now) * float64(g.overall))
+	d := e * time.Duration(max(0, g.running+ahead+1-g.limit())) / time.Duration(g.limit())
+	if g.cold(now) && g.coldRoom(now) <= ahead && len(g.starts) > 0 {
+		d = max(d, coldWindow-now.Sub(g.starts[min(ahead, len(g.starts)-1)]))
+	}
+	return max(d, minRetryAfter)
+}
+
+// advance decides waiting tickets. It returns the time until it has to be called
+// again, 0 if nothing waits for the time to pass.
+func (g *gate) advance(now time.Time) time.Duration {
+	var next time.Duration
+	at := func(d time.Duration) {
+		if next == 0 || d < next {
+			next = max(d, time.Millisecond)
+		}
+	}
+	kept := g.queue[:0]
+	for _, t := range g.queue {
+		r := t.request
+		e := g.expected(r)
+		switch {
+		case g.leaving:
+			g.refuse(now, t, prim.ReasonLeaving, 0)
+		case g.server == "":
+			g.refuse(now, t, prim.ReasonUnreachable, 0)
+		case !r.Deadline.After(now.Add(e)):
+			g.refuse(now, t, prim.ReasonExpired, minRetryAfter)
+		case !g.free(now):
+			if !now.Before(t.offered.Add(r.Patience)) {
+				g.refuse(now, t, prim.ReasonBusy, g.wait(now, t))
+				continue
+			}
+			at(t.offered.Add(r.Patience).Sub(now))
+			if g.running < g.limit() && len(g.starts) > 0 {
+				at(coldWindow - now.Sub(g.starts[0]))
+			}
+			kept = append(kept, t)
+		case g.hold(now, t):
+			at(holdStep)
+			kept = append(kept, t)
+		default:
+			g.begin(now, t)
+		}
+	}
+	clear(g.queue[len(kept):])
+	g.queue = kept
+	return next
+}
+
+func (g *gate) begin(now time.Time, t *ticket) {
+	t.begun, t.pace = now, g.pace(now)
+	g.running++
+	g.expireStarts(now)
+	g.starts = append(g.starts, now)
+	g.decide(t)
+}
+
+func (g *gate) refuse(now time.Time, t *ticket, why prim.Reason, after time.Duration) {
+	t.refusal = &prim.Refusal{Reason: why, Host: g.c.Host, Sample: g.sample(now), RetryAfter: after}
+	g.decide(t)
+}
+
+func (g *gate) decide(t *ticket) {
+	t.decided = true
+	g.decided = append(g.decided, t)
+}
+
+func (g *gate) takeDecided() []*ticket {
+	d := g.decided
+	g.decided = nil
+	return d
+}
+
+// cancel takes a ticket back whose caller no longer waits.
+func (g *gate) cancel(now time.Time, t *ticket, why prim.Reason) {
+	if t.decided {
+		if t.refusal == nil {
+			g.running--
+			t.refusal = &prim.Refusal{Reason: why, Host: g.c.Host, Sample: g.sample(now)}
+		}
+		return
+	}
+	if i := slices.Index(g.queue, t); i >= 0 {
+		g.queue = slices.Delete(g.queue, i, i+1)
+	}
+	g.refuse(now, t, why, 0)
+}
+
+// usualWeight is the weight of a new service time in the mean.
+const usualWeight = 0.1
+
+// done takes back the slot of an admitted ticket and learns its service time.
+func (g *gate) done(now time.Time, t *ticket, a prim.Attempt) {
+	if t.begun.IsZero() {
+		return
+	}
+	g.running--
+	if a.Outcome == prim.Done && !a.Failed && !g.cold(t.begun) {
+		d := time.Duration(float64(now.Sub(t.begun)) / max(1, t.pace))
+		g.usual[t.request.Class] = mean(g.usual[t.request.Class], d)
+		g.overall = mean(g.overall, d)
+	}
+	t.begun = time.Time{}
+}
+
+func mean(old, d time.Duration) time.Duration {
+	if old == 0 {
+		return d
+	}
+	return old + time.Duration(usualWeight*float64(d-old))
+}
+
+// learn takes a report of the server.
+func (g *gate) learn(now time.Time, r Report) {
+	if r.ID != "" && r.ID != g.server {
+		g.c.Logger.Info("server started", "Server", r.ID, "Before", g.server, "ColdFor", r.ColdFor)
+		g.server = r.ID
+	}
+	if r.Slots > 0 {
+		g.slots = r.Slots
+	}
+	if r.Slowdown > 0 {
+		g.slowdown, g.slowedAt = r.Slowdown, now
+	}
+	if !r.Check {
+		return
+	}
+	if r.Healthy != g.healthy {
+		g.c.Logger.Info("health of the server changed", "Server", g.server, "Healthy", r.Healthy)
+		g.healthy = r.Healthy
+	}
+	if r.ColdFor > 0 && !g.cold(now) {
+		g.c.Logger.Info("server is cold", "Server", g.server, "ColdFor", r.ColdFor)
+	}
+	g.coldUntil = now.Add(r.ColdFor)
+}
+
+func (g *gate) down(now time.Time, cause error) {
+	if g.server != "" {
+		g.c.Logger.Warn("server is down", "Server", g.server, "Cause", cause)
+	}
+	g.server, g.healthy = "", false
+	// A server that comes back is cold until it says otherwise.
+	g.suspect(now, "the server was down")
+}
+
+func (g *gate) suspect(now time.Time, why string) {
+	if until := now.Add(g.rule.WarmUp); until.After(g.coldUntil) {
+		g.coldUntil = until
+	}
+}
+
+func (g *gate) setRule(now time.Time, r prim.ServiceRule) { g.rule = r }
+
+func (g *gate) setLeaving(leaving bool) { g.leaving = leaving }
+
+func (g *gate) sample(now time.Time) prim.Sample {
+	s := prim.Sample{
+		Host:     g.c.Host,
+		Service:  g.c.Service,
+		InFlight: g.running,
+		Queued:   len(g.queue),
+		Limit:    g.limit(),
+		Latency:  g.overall,
+		Leaving:  g.leaving || g.server == "",
+		Slowdown: g.pace(now),
+		Cold:     g.cold(now),
+	}
+	if s.Cold {
+		s.ColdRoom = g.coldRoom(now)
+	}
+	if !g.healthy {
+		s.Failing = 1
+	}
+	return s
+}
--- a/wire/convert.go
+++ b/wire/convert.go
@@ -27,10 +27,18 @@
 		Internal:   r.Internal,
 		Key:        r.Key,
 		Lookup:     r.Lookup,
+		CallerID:   r.ID,
+		Authority:  r.Authority,
+		Origin:     r.Origin,
+		Priority:   r.Priority,
+		Patience:   r.Patience,
 	}
 	if !r.KeyCreated.IsZero() {
 		h.KeyCreated = r.KeyCreated.UnixMilli()
 	}
+	if !r.Objective.IsZero() {
+		h.Objective = r.Objective.Sub(now)
+	}
 	return h
 }
 
@@ -50,6 +58,14 @@
 		Key:        h.Key,
 		Lookup:     h.Lookup,
 		Deadline:   now.Add(min(h.Remaining, prim.MaxTimeout)),
+		ID:         h.CallerID,
+		Authority:  h.Authority,
+		Origin:     h.Origin,
+		Priority:   h.Priority,
+		Patience:   min(h.Patience, prim.MaxTimeout),
+	}
+	if h.Objective != 0 {
+		r.Objective = now.Add(min(h.Objective, prim.MaxTimeout))
 	}
 	if h.KeyCreated != 0 {
 		r.KeyCreated = time.UnixMilli(h.KeyCreated)
@@ -74,7 +90,7 @@
 func ErrorHeader(id uint64, err error) Header {
 	var refusal *prim.Refusal
 	if prim.OutcomeOf(err) == prim.NotRun && errors.As(err, &refusal) {
-		return Header{Type: Refusal, ID: id, Reason: refusal.Reason, Sample: &refusal.Sample, Host: refusal.Host}
+		return Header{Type: Refusal, ID: id, Reason: refusal.Reason, Sample: &refusal.Sample, Host: refusal.Host, RetryAfter: refusal.RetryAfter}
 	}
 	var conflict *prim.KeyConflict
 	if errors.As(err, &conflict) {
@@ -102,7 +118,7 @@
 	case Answer:
 		return &prim.Answer{Status: h.Status, Header: unflatten(h.HTTP), Body: body, Sample: s, Served: h.Served}, nil
 	case Refusal:
-		return nil, &prim.Refusal{Reason: h.Reason, Host: cmp.Or(h.Host, host), Sample: s}
+		return nil, &prim.Refusal{Reason: h.Reason, Host: cmp.Or(h.Host, host), Sample: s, RetryAfter: h.RetryAfter}
 	case Conflict:
 		return nil, &prim.KeyConflict{Key: h.Key}
 	default:
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -34,6 +34,7 @@
 	Ask                        // a control message that wants a Reply
 	Tell                       // a control message without a reply
 	Reply                      // the answer to Ask; Text is set on failure
+	Load                       // a load sample that nobody asked for
 )
 
 // Bounds of a frame in bytes.
@@ -82,7 +83,16 @@
 	Kind       prim.Kind     `cbor:"23,keyasint,omitempty"` // of a control message
 	Served     time.Duration `cbor:"24,keyasint,omitempty"`
 	// Host is the host that a refusal is about, if not the sender.
-	Host prim.HostName `cbor:"25,keyasint,omitempty"`
+	Host      prim.HostName `cbor:"25,keyasint,omitempty"`
+	CallerID  string        `cbor:"26,keyasint,omitempty"`
+	Authority string        `cbor:"27,keyasint,omitempty"`
+	Origin    prim.Service  `cbor:"28,keyasint,omitempty"`
+	Priority  int           `cbor:"29,keyasint,omitempty"`
+	// Objective is the time left until the request's objective; 0 means none.
+	Objective time.Duration `cbor:"30,keyasint,omitempty"`
+	Patience  time.Duration `cbor:"31,keyasint,omitempty"`
+	// RetryAfter goes with a refusal.
+	RetryAfter time.Duration `cbor:"32,keyasint,omitempty"`
 }
 
 // Malformed is the error of a frame that can't be read. The link it came from
@@ -161,7 +171,7 @@
 	if err := decoding.Unmarshal(message[lengthSize:lengthSize+n], &h); err != nil {
 		return h, nil, &Malformed{Problem: "header can't be decoded", Cause: err}
 	}
-	if h.Type < Dispatch || h.Type > Reply {
+	if h.Type < Dispatch || h.Type > Load {
 		return h, nil, &Malformed{Problem: "unknown type", Cause: fmt.Errorf("type %d", h.Type)}
 	}
 	return h, body, nil
