relay: an answered request that is not idempotent is not repeated

Cause: a 5xx answer counted as a failed attempt before the kind was looked at. Change: only idempotent requests are tried elsewhere after an answer. Conclusion: the rule is checked where the answer is read.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -140,7 +140,7 @@
 		}
 		a, err := k.attempt(ctx, q, h)
 		k.log(tries, h, rank, q.Patience, a, err)
-		if err == nil && (a.Status < 500 || !k.again(a.Rest == nil)) {
+		if err == nil && (a.Status < 500 || !k.again(k.request.Idempotent && a.Rest == nil)) {
 			return a, nil
 		}
 		if err == nil {
@@ -182,9 +182,6 @@
 	if !possible || k.request.Attempts > 0 && len(k.ran) >= k.request.Attempts {
 		return false
 	}
-	if !k.request.Idempotent && (k.failure != nil || k.lost != nil) {
-		return false
-	}
 	if !k.r.take(k.request.Service) {
 		return false
 	}
