slots, relay: wait out slowdowns, leave the data centre only to save the objective

Ruled out: slowdown that acts during the run (requests that began well and ended in a slowdown take as long as others). Change: owners keep a request until the slowdown ends if that is sooner than running it; slots above 0.8 are used unless requests there take longer; servers of other data centres are chosen when only they meet the objective.

--- a/mesh/leave.go
+++ b/mesh/leave.go
@@ -57,7 +57,7 @@
 // drain serves until the clients have left, refuses new work for the server, and
 // waits for what is in progress.
 func (n *Node) drain(callers *http.Server) error {
-	n.log.Info("stop begins", "InProgress", n.calls.Load(), "AtServer", n.admitter.Sample().InFlight)
+	n.log.Info("stop begins", "Counters", n.recorder.Snapshot().Counters, "InProgress", n.calls.Load(), "AtServer", n.admitter.Sample().InFlight)
 	n.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), n.c.Settings.Grace-reserve)
 	defer cancel()
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -118,7 +118,7 @@
 	distance = 5 * time.Millisecond
 	// detour is what a kilobyte on a link between data centres is worth in
 	// time.
-	detour = 30 * time.Millisecond
+	detour = 250 * time.Millisecond
 )
 
 // repeats returns the retry budget of a service at this node: its part of the
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -17,7 +17,11 @@
 
 const (
 	// unknownSlowdown stands for a server whose slowdown is not known.
-	unknownSlowdown = 1.5
+	unknownSlowdown = 1.4
+	// slow is the slowdown from which on an owner may keep a request waiting.
+	slow = 1.5
+	// spell is how long a slowdown is expected to last at most.
+	spell = 150 * time.Millisecond
 	// coldSlowdown stands for what a cold server loses.
 	coldSlowdown = 2.0
 	// loadWeight is how much a full server is expected to be slower than an
@@ -35,23 +39,56 @@
 	defaultUsual = 50 * time.Millisecond
 )
 
+// A tier says what an answer after the expected time is worth. It goes before
+// all else: bytes between data centres are saved only where that costs no answer
+// its use.
+type tier int
+
+const (
+	inTime  tier = iota // within the objective
+	late                // within the deadline
+	tooLate             // after the deadline
+)
+
+// dueMargin is the share by which a request may take longer than expected and
+// still be in time.
+const dueMargin = 1.2
+
+// tier returns the tier of an answer that is expected after a number of seconds.
+func (k *call) tier(now time.Time, seconds float64) tier {
+	at := now.Add(time.Duration(dueMargin * seconds * float64(time.Second)))
+	switch {
+	case !k.request.Objective.IsZero() && !at.After(k.request.Objective):
+		return inTime
+	case !at.After(k.request.Deadline):
+		return late
+	}
+	return tooLate
+}
+
 // choose returns the host that is expected to answer first, and whether the
 // request would have to wait for a slot there.
 func (k *call) choose(now time.Time) (best *host, rank time.Duration, busy bool) {
 	p := k.r.c.Placements.Placement()
+	lowest := tooLate
 	first := math.Inf(1)
 	for _, e := range p.InService(k.request.Service) {
 		if slices.Contains(k.ran, e.Host) {
 			continue
 		}
 		h := k.r.host(e.Host)
+		h.centre = e.DataCentre
 		v, wait, ok := k.rank(now, h, e)
 		if !ok {
 			continue
 		}
+		t := k.tier(now, v)
+		if e.DataCentre != k.r.c.DataCentre {
+			v += k.r.c.Detour.Seconds() * k.class.kilobytes()
+		}
 		v *= 1 + spread*rand.Float64()
-		if v < first {
-			best, first, busy = h, v, wait
+		if best == nil || t < lowest || t == lowest && v < first {
+			best, lowest, first, busy = h, t, v, wait
 		}
 	}
 	if best == nil {
@@ -82,7 +119,7 @@
 	if usual == 0 {
 		usual = defaultUsual
 	}
-	limit := max(1, 0.8*float64(e.Slots))
+	limit := max(1, float64(e.Slots))
 	load := pending
 	slowdown := unknownSlowdown
 	if known {
@@ -96,7 +133,9 @@
 			busy = s.ColdRoom == 0 && age < freshFor
 		}
 	}
-	busy = busy || load >= limit
+	busy = busy || load >= limit || slowdown >= slow
+	// An owner keeps a request waiting if a slowdown is soon over.
+	slowdown = min(slowdown, 1+spell.Seconds()/usual.Seconds())
 	work := usual.Seconds() * slowdown * math.Exp(fade(h.slower, now.Sub(h.slowAt)))
 	v = work * (1 + loadWeight*load/limit + max(0, load+1-limit)/limit)
 	v += failurePenalty * usual.Seconds() * (fade(h.failing, now.Sub(h.failAt)) + s.Failing)
@@ -104,7 +143,7 @@
 		v += usual.Seconds()
 	}
 	if e.DataCentre != c.DataCentre {
-		v += 2*c.Distance.Seconds() + c.Detour.Seconds()*k.class.kilobytes()
+		v += 2 * c.Distance.Seconds()
 	}
 	if !own && !c.Links.Linked(e.Host) {
 		v += dialPenalty * max(c.Distance, time.Millisecond).Seconds()
--- a/relay/host.go
+++ b/relay/host.go
@@ -12,6 +12,7 @@
 // host is what this node knows of one server and the way to it.
 type host struct {
 	name    prim.HostName
+	centre  prim.DataCentre
 	pending atomic.Int64 // this node's unanswered dispatches
 
 	mu      sync.Mutex
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -199,6 +199,9 @@
 func (k *call) attempt(ctx context.Context, q *prim.Request, h *host) (*prim.Answer, error) {
 	h.pending.Add(1)
 	defer h.pending.Add(-1)
+	if h.centre != k.r.c.DataCentre {
+		k.r.count("FarDispatches")
+	}
 	begin := time.Now()
 	a, err := k.r.c.Owners.Owner(h.name).Dispatch(ctx, q)
 	now := time.Now()
--- a/slots/gate.go
+++ b/slots/gate.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -15,11 +16,29 @@
 	coldWindow = time.Second
 	// slowdownKeep is how long a reported slowdown is believed.
 	slowdownKeep = 250 * time.Millisecond
-	// slow is the slowdown from which on it pays to wait for a better moment.
-	slow = 2.0
+	// slow is the slowdown from which on a server counts as slowed down.
+	slow = 1.5
+	// firstSpell is how long a slowdown is expected to last until some were
+	// seen, and maxSpell bounds what is learned: a longer one is no spell.
+	firstSpell = 150 * time.Millisecond
+	maxSpell   = time.Second
 	// holdStep is how soon a request that waits for a better moment is looked
 	// at again if the server reports nothing.
 	holdStep = 20 * time.Millisecond
+	// dueMargin is the share by which a request may take longer than expected
+	// and still meet its objective when it begins now.
+	dueMargin = 1.2
+	// crowdShare is the share of the slots above which a server counts as
+	// crowded.
+	crowdShare = 0.8
+	// firstCrowding is how many times as long requests are expected to take
+	// at a crowded server until some were seen there.
+	firstCrowding = 1.2
+	// crowdWeight is the weight of a new observation of a crowded server.
+	crowdWeight = 0.1
+	// crowdForget is the time constant with which these are forgotten, so that
+	// a server is tried at all its slots again.
+	crowdForget = 30 * time.Second
 	// maxWaiting bounds the queue, in requests per slot.
 	maxWaiting = 4
 	// minRetryAfter is the shortest time that a refusal asks a caller to wait.
@@ -36,6 +55,8 @@
 	offered time.Time
 	begun   time.Time
 	pace    float64 // slowdown when it began
+	cold    bool    // the server was cold then
+	crowded bool    // and crowded
 }
 
 type gate struct {
@@ -48,6 +69,10 @@
 	rule      prim.ServiceRule
 	slowdown  float64
 	slowedAt  time.Time
+	spellFrom time.Time     // start of the current slowdown; zero if there is none
+	spell     time.Duration // mean length of a slowdown
+	crowding  float64       // how many times as long requests take at a crowded server
+	crowdAt   time.Time
 	coldUntil time.Time
 	running   int
 	starts    []time.Time // within coldWindow, oldest first
@@ -58,16 +83,29 @@
 }
 
 func newGate(c Config) gate {
-	return gate{c: c, usual: make(map[prim.Class]time.Duration)}
+	return gate{c: c, usual: make(map[prim.Class]time.Duration), spell: firstSpell, crowding: firstCrowding}
 }
 
-// limit returns the number of requests that may run at once.
-func (g *gate) limit() int {
-	n := g.slots
-	if n == 0 {
-		n = g.published
+// told returns the number of slots that the server has.
+func (g *gate) told() int {
+	if g.slots > 0 {
+		return g.slots
 	}
-	return max(1, int(g.c.FullShare*float64(n)+1e-9))
+	return max(1, g.published)
+}
+
+// limit returns the number of requests that may run at once. It is below the
+// slots if requests at a crowded server take so much longer that fewer are done
+// in a given time.
+func (g *gate) limit(now time.Time) int {
+	all := g.told()
+	part := max(1, int(crowdShare*float64(all)))
+	fade := math.Exp(-now.Sub(g.crowdAt).Seconds() / crowdForget.Seconds())
+	crowding := firstCrowding + (g.crowding-firstCrowding)*fade
+	if float64(all) < crowding*float64(part) {
+		return part
+	}
+	return all
 }
 
 // cold reports whether the server is warming up.
@@ -77,7 +115,7 @@
 func (g *gate) coldRoom(now time.Time) int {
 	g.expireStarts(now)
 	if g.rule.WarmUpRate <= 0 {
-		return g.limit()
+		return g.limit(now)
 	}
 	return max(0, int(g.c.ColdRate(g.rule.WarmUpRate))-len(g.starts))
 }
@@ -108,7 +146,7 @@
 
 // free reports whether a request may begin now.
 func (g *gate) free(now time.Time) bool {
-	return g.running < g.limit() && (!g.cold(now) || g.coldRoom(now) > 0)
+	return g.running < g.limit(now) && (!g.cold(now) || g.coldRoom(now) > 0)
 }
 
 // offer admits, queues or refuses a new ticket.
@@ -126,24 +164,38 @@
 		g.refuse(now, t, prim.ReasonExpired, 0)
 	case len(g.queue) == 0 && g.free(now) && !g.hold(now, t):
 		g.begin(now, t)
-	case r.Patience <= 0, len(g.queue) >= maxWaiting*g.limit():
+	case r.Patience <= 0, len(g.queue) >= maxWaiting*g.limit(now):
 		g.refuse(now, t, prim.ReasonBusy, g.wait(now, t))
 	default:
-		i, _ := slices.BinarySearchFunc(g.queue, t, compare)
-		g.queue = slices.Insert(g.queue, i, t)
+		g.queue = append(g.queue, t)
 	}
 }
 
-// compare orders tickets by priority, then by the time at which an answer stops
-// being of full use.
-func compare(a, b *ticket) int {
-	if d := a.request.Priority - b.request.Priority; d != 0 {
-		return d
-	}
-	if d := due(a).Compare(due(b)); d != 0 {
-		return d
+// compare returns the order of tickets: those first that can still meet their
+// objective, then by priority and by the time until which an answer is of full
+// use.
+func (g *gate) compare(now time.Time) func(a, b *ticket) int {
+	return func(a, b *ticket) int {
+		if x, y := g.late(now, a), g.late(now, b); x != y {
+			if y {
+				return -1
+			}
+			return 1
+		}
+		if d := a.request.Priority - b.request.Priority; d != 0 {
+			return d
+		}
+		if d := due(a).Compare(due(b)); d != 0 {
+			return d
+		}
+		return a.offered.Compare(b.offered)
 	}
-	return a.offered.Compare(b.offered)
+}
+
+// late reports whether a request that begins now would miss its objective.
+func (g *gate) late(now time.Time, t *ticket) bool {
+	e := time.Duration(dueMargin * float64(g.expected(t.request)))
+	return due(t).Before(now.Add(e))
 }
 
 func due(t *ticket) time.Time {
@@ -153,30 +205,32 @@
 	return t.request.Objective
 }
 
-// hold reports whether a request gains by waiting: the server is slowed down,
-// and once that ends there is still time to meet the objective.
+// hold reports whether a request gains by waiting: the server is slowed down, and
+// that is expected to end before the request would. Servers fix the duration of
+// a request when it begins.
 func (g *gate) hold(now time.Time, t *ticket) bool {
 	p := g.pace(now)
-	if p < slow || t.request.Objective.IsZero() {
+	if p < slow || now.Sub(g.spellFrom) > maxSpell {
 		return false
 	}
 	e := g.expected(t.request)
-	if now.Add(time.Duration(p * float64(e))).Before(t.request.Objective) {
+	if time.Duration((p-1)*float64(e)) < g.spell {
 		return false
 	}
-	return now.Add(holdStep + e).Before(t.request.Objective)
+	return now.Add(holdStep + time.Duration(dueMargin*float64(e))).Before(t.request.Deadline)
 }
 
 // wait estimates the time until a new ticket could begin.
 func (g *gate) wait(now time.Time, t *ticket) time.Duration {
 	ahead := 0
+	order := g.compare(now)
 	for _, q := range g.queue {
-		if compare(q, t) <= 0 {
+		if order(q, t) <= 0 {
 			ahead++
 		}
 	}
 	e := time.Duration(g.pace(now) * float64(g.overall))
-	d := e * time.Duration(max(0, g.running+ahead+1-g.limit())) / time.Duration(g.limit())
+	d := e * time.Duration(max(0, g.running+ahead+1-g.limit(now))) / time.Duration(g.limit(now))
 	if g.cold(now) && g.coldRoom(now) <= ahead && len(g.starts) > 0 {
 		d = max(d, coldWindow-now.Sub(g.starts[min(ahead, len(g.starts)-1)]))
 	}
@@ -192,6 +246,7 @@
 			next = max(d, time.Millisecond)
 		}
 	}
+	slices.SortFunc(g.queue, g.compare(now))
 	kept := g.queue[:0]
 	for _, t := range g.queue {
 		r := t.request
@@ -209,7 +264,7 @@
 				continue
 			}
 			at(t.offered.Add(r.Patience).Sub(now))
-			if g.running < g.limit() && len(g.starts) > 0 {
+			if g.running < g.limit(now) && len(g.starts) > 0 {
 				at(coldWindow - now.Sub(g.starts[0]))
 			}
 			kept = append(kept, t)
@@ -226,8 +281,9 @@
 }
 
 func (g *gate) begin(now time.Time, t *ticket) {
-	t.begun, t.pace = now, g.pace(now)
 	g.running++
+	t.begun, t.pace, t.cold = now, g.pace(now), g.cold(now)
+	t.crowded = float64(g.running) > crowdShare*float64(g.told())
 	g.expireStarts(now)
 	g.starts = append(g.starts, now)
 	g.decide(t)
@@ -273,14 +329,31 @@
 		return
 	}
 	g.running--
-	if a.Outcome == prim.Done && !a.Failed && !g.cold(t.begun) {
-		d := time.Duration(float64(now.Sub(t.begun)) / max(1, t.pace))
-		g.usual[t.request.Class] = mean(g.usual[t.request.Class], d)
-		g.overall = mean(g.overall, d)
+	if a.Outcome == prim.Done && !a.Failed && !t.cold {
+		g.learnTime(now, t)
 	}
 	t.begun = time.Time{}
 }
 
+// learnTime learns from the service time of a finished request.
+func (g *gate) learnTime(now time.Time, t *ticket) {
+	d := time.Duration(float64(now.Sub(t.begun)) / max(1, t.pace))
+	usual := g.usual[t.request.Class]
+	if !t.crowded {
+		g.usual[t.request.Class] = mean(usual, d)
+		g.overall = mean(g.overall, d)
+		return
+	}
+	if usual > 0 && t.pace < slow {
+		ratio := min(float64(d)/float64(usual), maxCrowding)
+		g.crowding += crowdWeight * (ratio - g.crowding)
+		g.crowdAt = now
+	}
+}
+
+// maxCrowding bounds one observation: a single slow request says little.
+const maxCrowding = 3.0
+
 func mean(old, d time.Duration) time.Duration {
 	if old == 0 {
 		return d
@@ -298,7 +371,7 @@
 		g.slots = r.Slots
 	}
 	if r.Slowdown > 0 {
-		g.slowdown, g.slowedAt = r.Slowdown, now
+		g.learnPace(now, r.Slowdown)
 	}
 	if !r.Check {
 		return
@@ -310,7 +383,22 @@
 	if r.ColdFor > 0 && !g.cold(now) {
 		g.c.Logger.Info("server is cold", "Server", g.server, "ColdFor", r.ColdFor)
 	}
-	g.coldUntil = now.Add(r.ColdFor)
+	g.coldUntil = time.Time{}
+	if r.ColdFor > 0 {
+		g.coldUntil = now.Add(r.ColdFor)
+	}
+}
+
+// learnPace takes a reported slowdown and learns how long a spell of it lasts.
+func (g *gate) learnPace(now time.Time, slowdown float64) {
+	g.slowdown, g.slowedAt = slowdown, now
+	switch {
+	case slowdown >= slow && g.spellFrom.IsZero():
+		g.spellFrom = now
+	case slowdown < slow && !g.spellFrom.IsZero():
+		g.spell = mean(g.spell, min(now.Sub(g.spellFrom), maxSpell))
+		g.spellFrom = time.Time{}
+	}
 }
 
 func (g *gate) down(now time.Time, cause error) {
@@ -338,7 +426,7 @@
 		Service:  g.c.Service,
 		InFlight: g.running,
 		Queued:   len(g.queue),
-		Limit:    g.limit(),
+		Limit:    g.limit(now),
 		Latency:  g.overall,
 		Leaving:  g.leaving || g.server == "",
 		Slowdown: g.pace(now),
--- a/slots/slots.go
+++ b/slots/slots.go
@@ -38,19 +38,12 @@
 type Config struct {
 	Host    prim.HostName
 	Service prim.Service
-	// FullShare is the share of the slots that is used: many servers slow down
-	// when they are nearly full. 0 means DefaultFullShare.
-	FullShare float64
 	// ColdRate returns the number of requests that a cold server may get in
 	// any second, given the published rate; nil means the rate itself.
 	ColdRate func(rate float64) float64
 	Logger   *slog.Logger
 }
 
-// DefaultFullShare keeps a server a fifth below its slots, where the published
-// deployments begin to slow down.
-const DefaultFullShare = 0.8
-
 // Admitter implements prim.Admitter.
 type Admitter struct {
 	mu      sync.Mutex
@@ -63,9 +56,6 @@
 
 // New returns an admitter that refuses everything until the first report.
 func New(c Config) *Admitter {
-	if c.FullShare == 0 {
-		c.FullShare = DefaultFullShare
-	}
 	if c.ColdRate == nil {
 		c.ColdRate = func(rate float64) float64 { return rate }
 	}
