--- a/cmd/primrosethread/mesh.go
+++ b/cmd/primrosethread/mesh.go
@@ -8,7 +8,9 @@
 	"io"
 	"log/slog"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/primrosethread/primrosethread/logs"
 	"github.com/primrosethread/primrosethread/mesh"
@@ -17,6 +19,9 @@
 
 // runMesh runs a node on the users' platform until the context ends.
 func runMesh(ctx context.Context, args []string, out, errs io.Writer) int {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
 	flags := flag.NewFlagSet("mesh", flag.ContinueOnError)
 	flags.SetOutput(errs)
 	path := flags.String("settings", os.Getenv(platform.PathVariable), "path of the settings file; default from "+platform.PathVariable)
@@ -46,7 +51,7 @@
 		<-ended
 	}()
 	logger := slog.New(slog.NewJSONHandler(writer, &slog.HandlerOptions{Level: level})).With("Host", settings.Host)
-	n, err := mesh.New(mesh.Config{Settings: *settings, Logger: logger, Version: version})
+	n, err := mesh.New(mesh.Config{Settings: *settings, Path: *path, Hangup: hangup, Logger: logger, Version: version})
 	if err == nil {
 		err = n.Run(ctx)
 	}
--- a/mesh/leave.go
+++ b/mesh/leave.go
@@ -59,10 +59,10 @@
 func (n *Node) drain(callers *http.Server) error {
 	n.log.Info("stop begins", "Counters", n.recorder.Snapshot().Counters, "InProgress", n.calls.Load(), "AtServer", n.admitter.Sample().InFlight)
 	n.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), n.c.Settings.Grace-reserve)
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings().Grace-reserve)
 	defer cancel()
 	// Half of the grace time is left for the requests that came last.
-	leave, cancelLeave := context.WithTimeout(ctx, n.c.Settings.Grace/2)
+	leave, cancelLeave := context.WithTimeout(ctx, n.settings().Grace/2)
 	for leave.Err() == nil && n.asked.Load() < misses {
 		waits.Sleep(leave, drainPoll)
 	}
--- a/mesh/loops.go
+++ b/mesh/loops.go
@@ -71,7 +71,7 @@
 				waits.Sleep(ctx, checkEvery)
 			}
 		}(ctx)
-		n.roster.FollowServer(ctx, n.registry, id, n.c.Settings.Republished, func(on bool) { n.leave(byEntry, on) })
+		n.roster.FollowServer(ctx, n.registry, id, n.settings().Republished, func(on bool) { n.leave(byEntry, on) })
 	})
 }
 
@@ -80,7 +80,7 @@
 	return loop(ctx, func(ctx context.Context) {
 		changed := n.roster.Changed()
 		p := n.roster.Placement()
-		s := &n.c.Settings
+		s := n.settings()
 		n.leave(bySwitch, p.Out(s.DataCentre))
 		if rule := p.Service(s.Service); rule != nil {
 			n.server.SetHealthPath(rule.HealthPath)
@@ -113,7 +113,7 @@
 	var at time.Time
 	near := func(h prim.HostName) bool {
 		e := n.roster.Placement().Host(h)
-		return e != nil && e.DataCentre == n.c.Settings.DataCentre
+		return e != nil && e.DataCentre == n.settings().DataCentre
 	}
 	return loop(ctx, func(ctx context.Context) {
 		select {
@@ -158,7 +158,7 @@
 		p := n.roster.Placement()
 		for i := range p.Servers {
 			e := &p.Servers[i]
-			if e.Host != n.c.Settings.Host && e.DataCentre == n.c.Settings.DataCentre && !e.Draining {
+			if e.Host != n.settings().Host && e.DataCentre == n.settings().DataCentre && !e.Draining {
 				n.peers.Connect(e.Host)
 			}
 		}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -31,13 +32,18 @@
 // Config configures a Node.
 type Config struct {
 	Settings platform.Settings
-	Logger   *slog.Logger
-	Version  string
+	// Path is the settings file, empty if it is not to be read again. Hangup
+	// gets a value when a signal asks for that; it may be nil.
+	Path    string
+	Hangup  <-chan os.Signal
+	Logger  *slog.Logger
+	Version string
 }
 
 // Node is one process of the mesh.
 type Node struct {
 	c        Config
+	current  atomic.Pointer[platform.Settings]
 	log      *slog.Logger
 	instance prim.Instance
 	store    *platform.Client
@@ -70,6 +76,7 @@
 func New(c Config) (*Node, error) {
 	s := &c.Settings
 	n := &Node{c: c, log: c.Logger, instance: prim.NewInstance(), recorder: stats.New(stats.Config{}), checked: make(chan struct{}, 1)}
+	n.current.Store(s)
 	n.store = platform.NewClient(s.Store.String())
 	n.registry = platform.NewRegistry(n.store, n.log)
 	n.roster = roster.New(roster.Config{Logger: n.log})
@@ -92,7 +99,9 @@
 	}
 	n.admitter = slots.New(slots.Config{
 		Host: s.Host, Service: s.Service, Logger: n.log,
-		ColdRate: func(rate float64) float64 { return coldMargin * (rate*s.ColdFactor + s.ColdExtra) },
+		ColdRate: func(rate float64) float64 {
+			return coldMargin * (rate*n.settings().ColdFactor + n.settings().ColdExtra)
+		},
 	})
 	n.client = server.New(server.Config{Host: s.Host, Address: s.Server, Plain: true, Belongs: platform.Belongs, IdleTimeout: serverIdle})
 	n.server = platform.NewServer(s.Host, n.client, n.admitter.Server, n.admitter.Learn)
@@ -124,7 +133,7 @@
 // repeats returns the retry budget of a service at this node: its part of the
 // fleet's.
 func (n *Node) repeats() *budget.Budget {
-	s := &n.c.Settings
+	s := n.settings()
 	nodes := float64(max(1, n.roster.Placement().Hosts()))
 	extra := repeatMargin * s.RepeatExtra / nodes
 	// The bucket may hold the share of two windows, so half of it is used.
@@ -209,6 +218,7 @@
 		n.check(background),
 		n.publish(background),
 		n.tend(background),
+		n.followSettings(background),
 	}
 	n.log.Info("node started", "Service", s.Service, "DataCentre", s.DataCentre, "Callers", s.Callers, "Peers", s.Peers, "Instance", n.instance)
 
--- a/mesh/status.go
+++ b/mesh/status.go
@@ -39,7 +39,7 @@
 	p := n.roster.Placement()
 	routes, servers := n.roster.Ages(time.Now())
 	return Status{
-		Host: n.c.Settings.Host, DataCentre: n.c.Settings.DataCentre, Service: n.c.Settings.Service,
+		Host: n.settings().Host, DataCentre: n.settings().DataCentre, Service: n.settings().Service,
 		Instance: n.instance, Version: n.c.Version, Stopping: n.stopping.Load(),
 		Server: n.admitter.Server(), Load: n.admitter.Sample(),
 		Routing: p.Routing.Version, RoutingAgeMs: routes.Milliseconds(), ServersAgeMs: servers.Milliseconds(),
