--- a/relay/relay.go
+++ b/relay/relay.go
@@ -75,7 +75,10 @@
 	// waiting, unless the samples show that every server is busy.
 	eagerTries = 3
 	// maxTries bounds the dispatches of one request, refused ones included.
-	maxTries = 8
+	maxTries = 24
+	// patienceStep is how long an owner may keep a request at most before the
+	// servers are compared again.
+	patienceStep = 60 * time.Millisecond
 	// fallbackRetryAfter goes to callers when no owner has named a time.
 	fallbackRetryAfter = 100 * time.Millisecond
 )
@@ -131,6 +134,9 @@
 		if h == nil {
 			return nil, k.refused(prim.ReasonNoHost)
 		}
+		if busy && tries > 1 && !k.request.Deadline.After(now.Add(k.class.expected())) {
+			return nil, k.refused(prim.ReasonBusy)
+		}
 		q := k.request
 		wait := busy || tries > eagerTries
 		if wait {
@@ -162,7 +168,7 @@
 				return nil, refusal
 			}
 		}
-		if tries >= maxTries || wait && refusal.Reason == prim.ReasonBusy {
+		if tries >= maxTries {
 			return nil, refusal
 		}
 	}
@@ -189,10 +195,10 @@
 	return true
 }
 
-// patience is how long the owner may keep the request waiting: until it could
-// not finish in time.
+// patience is how long the owner may keep the request waiting: not so long that it
+// could not finish in time.
 func (k *call) patience(now time.Time) time.Duration {
-	return max(0, k.request.Deadline.Sub(now)-k.class.expected())
+	return max(0, min(patienceStep, k.request.Deadline.Sub(now)-k.class.expected()))
 }
 
 // attempt hands the request to one owner and learns from the end.
--- a/roster/follow.go
+++ b/roster/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -15,19 +16,30 @@
 // The node beside a server is the one that has to know at once that the server
 // leaves, since every request to it passes there; others may learn it late. That
 // keeps the cost of a node constant whatever the number of servers.
+//
+// A watch that hears nothing may have lost its way. The operators' watch is
+// therefore short and of random length, so that of several nodes one notices soon
+// and the others hear from it; and it is given up for a whole read as soon as
+// another reader fails. The list of servers is a second source for the own server.
 
 // Times of the reads.
 const (
-	// watchWait is how long a watch waits for a change.
-	watchWait = 15 * time.Second
+	// minWatch and maxWatch bound the wait of the operators' watch.
+	minWatch = 4 * time.Second
+	maxWatch = 14 * time.Second
+	// ownWatch is the wait of the watch on one server's entry.
+	ownWatch = 28 * time.Second
 	// listEvery is the mean time between two lists of servers.
-	listEvery = time.Second
+	listEvery = 1500 * time.Millisecond
 	// watchGap is the least time between two watches of one server's entry, so
 	// that its heartbeats are read together.
 	watchGap = 400 * time.Millisecond
 	// minRetry and maxRetry bound the time between failed reads.
 	minRetry = 50 * time.Millisecond
-	maxRetry = 800 * time.Millisecond
+	maxRetry = 1600 * time.Millisecond
+	// doubtGap is the least time between two whole reads that other readers'
+	// failures cause.
+	doubtGap = time.Second
 )
 
 // Follow reads the registry until the context ends, and then sends on the
@@ -58,6 +70,7 @@
 		p.from = time.Now()
 		p.r.log.Warn("registry lost", "Reading", p.what, "Error", err)
 	}
+	p.r.doubt(p.what)
 	p.d = min(max(2*p.d, minRetry), maxRetry)
 	waits.Sleep(ctx, waits.Jitter(p.d))
 }
@@ -72,33 +85,71 @@
 	return true
 }
 
+// doubt tells the operators' watch that another reader has failed.
+func (r *Roster) doubt(what string) {
+	if what == operators {
+		return
+	}
+	select {
+	case r.doubts <- struct{}{}:
+	default:
+	}
+}
+
+const operators = "operators"
+
 func (r *Roster) followOperators(ctx context.Context, registry prim.Registry) {
-	p := pause{r: r, what: "operators"}
+	p := pause{r: r, what: operators}
 	var at uint64
+	var readAt time.Time
 	for ctx.Err() == nil {
-		var s prim.OperatorState
-		var err error
-		whole := at == 0
-		if whole {
-			s, at, err = registry.Operators(ctx)
-		} else {
-			var next uint64
-			if s, next, err = registry.OperatorChanges(ctx, at, watchWait); err == nil {
-				at = max(at, next)
+		if at == 0 {
+			s, seen, err := registry.Operators(ctx)
+			if err != nil {
+				p.failed(ctx, err)
+				continue
 			}
+			p.recovered()
+			at, readAt = seen, time.Now()
+			r.applyOperators(s, true, at)
 		}
+		s, next, err := r.watchOperators(ctx, registry, at, readAt)
 		switch {
-		case errors.Is(err, prim.ErrHistoryGone):
+		case errors.Is(err, prim.ErrHistoryGone), errors.Is(err, errDoubted):
 			at = 0
-			continue
 		case err != nil:
+			// A lost answer may have carried changes, and a watch that was cut
+			// may have missed some.
+			at = 0
 			p.failed(ctx, err)
-			// A lost answer may have carried changes; the watch repeats them.
-			continue
+		default:
+			p.recovered()
+			at = max(at, next)
+			r.applyOperators(s, false, at)
+		}
+	}
+}
+
+var errDoubted = errors.New("another reader of the registry failed")
+
+// watchOperators makes one watch. It ends with errDoubted when another reader
+// fails, but not sooner than doubtGap after the last whole read.
+func (r *Roster) watchOperators(ctx context.Context, registry prim.Registry, at uint64, readAt time.Time) (prim.OperatorState, uint64, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func(ctx context.Context) {
+		waits.Sleep(ctx, doubtGap-time.Since(readAt))
+		select {
+		case <-r.doubts:
+			cancel(errDoubted)
+		case <-ctx.Done():
 		}
-		p.recovered()
-		r.applyOperators(s, whole, at)
+	}(ctx)
+	s, next, err := registry.OperatorChanges(ctx, at, minWatch+rand.N(maxWatch-minWatch))
+	if err != nil && errors.Is(context.Cause(ctx), errDoubted) {
+		err = errDoubted
 	}
+	return s, next, err
 }
 
 // applyOperators takes what operators have published. In a whole state, a data
@@ -177,7 +228,7 @@
 			e, at, err = registry.Server(ctx, id)
 		} else {
 			var next uint64
-			wait := watchWait
+			wait := ownWatch
 			if !missingSince.IsZero() {
 				wait = max(time.Millisecond, republished-time.Since(missingSince))
 			}
@@ -186,6 +237,7 @@
 			}
 		}
 		if errors.Is(err, prim.ErrHistoryGone) {
+			r.doubt(p.what)
 			at = 0
 			continue
 		}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -20,7 +20,8 @@
 
 // Roster implements prim.Placements.
 type Roster struct {
-	log *slog.Logger
+	log    *slog.Logger
+	doubts chan struct{} // a reader of the registry has failed
 
 	mu       sync.RWMutex
 	now      *prim.Placement
@@ -40,7 +41,7 @@
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
 	return &Roster{
-		log: c.Logger, changed: make(chan struct{}),
+		log: c.Logger, changed: make(chan struct{}), doubts: make(chan struct{}, 1),
 		switches: make(map[prim.DataCentre]prim.CentreSwitch),
 		now:      prim.NewPlacement(prim.Routing{}, nil, nil),
 	}
