--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -70,7 +70,7 @@
 
 // repeatMargin is the share of the fleet's bound on repeats that nodes use, each
 // an equal part. The rest covers nodes that count different hosts.
-const repeatMargin = 0.4
+const repeatMargin = 0.25
 
 // New builds a node that serves nothing yet.
 func New(c Config) (*Node, error) {
@@ -79,7 +79,7 @@
 	n.current.Store(s)
 	n.store = platform.NewClient(s.Store.String())
 	n.registry = platform.NewRegistry(n.store, n.log)
-	n.roster = roster.New(roster.Config{Logger: n.log})
+	n.roster = roster.New(roster.Config{DataCentre: s.DataCentre, Logger: n.log})
 	var err error
 	n.peers, err = peers.New(peers.Config{
 		Self:     s.Host,
--- a/roster/follow.go
+++ b/roster/follow.go
@@ -18,15 +18,18 @@
 // keeps the cost of a node constant whatever the number of servers.
 //
 // A watch that hears nothing may have lost its way. The operators' watch is
-// therefore short and of random length, so that of several nodes one notices soon
-// and the others hear from it; and it is given up for a whole read as soon as
-// another reader fails. The list of servers is a second source for the own server.
+// therefore of random length, so that of the nodes of a data centre, which hear
+// from each other, one notices soon; and it is given up for a whole read as soon
+// as another reader fails. While the registry is down only this reader tries it.
 
 // Times of the reads.
 const (
-	// minWatch and maxWatch bound the wait of the operators' watch.
-	minWatch = 4 * time.Second
-	maxWatch = 14 * time.Second
+	// The operators' watch waits at most for watchStep times the number of
+	// nodes in the data centre, so that one of them begins a new watch every
+	// second or so, but for minWatch to maxWatch.
+	watchStep = time.Second
+	minWatch  = 12 * time.Second
+	maxWatch  = 28 * time.Second
 	// ownWatch is the wait of the watch on one server's entry.
 	ownWatch = 28 * time.Second
 	// listEvery is the mean time between two lists of servers.
@@ -37,6 +40,10 @@
 	// minRetry and maxRetry bound the time between failed reads.
 	minRetry = 50 * time.Millisecond
 	maxRetry = 1600 * time.Millisecond
+	// otherRetry is how long the other readers wait at most for the operators'
+	// reader to succeed, and rejoin spreads them after it has.
+	otherRetry = 5 * time.Second
+	rejoin     = 200 * time.Millisecond
 	// doubtGap is the least time between two whole reads that other readers'
 	// failures cause.
 	doubtGap = time.Second
@@ -70,9 +77,37 @@
 		p.from = time.Now()
 		p.r.log.Warn("registry lost", "Reading", p.what, "Error", err)
 	}
-	p.r.doubt(p.what)
 	p.d = min(max(2*p.d, minRetry), maxRetry)
-	waits.Sleep(ctx, waits.Jitter(p.d))
+	if p.what == operators {
+		waits.Sleep(ctx, waits.Jitter(p.d))
+		return
+	}
+	regained := p.r.regained()
+	p.r.doubt()
+	other := time.NewTimer(otherRetry)
+	defer other.Stop()
+	select {
+	case <-regained:
+	case <-other.C:
+	case <-ctx.Done():
+	}
+	waits.Sleep(ctx, waits.Jitter(rejoin))
+}
+
+// regained returns a channel that is closed when the operators' reader next
+// succeeds.
+func (r *Roster) regained() <-chan struct{} {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.read
+}
+
+// succeeded tells that the operators' reader has read everything.
+func (r *Roster) succeeded() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.read)
+	r.read = make(chan struct{})
 }
 
 // recovered reports whether this read follows a failed one.
@@ -86,10 +121,7 @@
 }
 
 // doubt tells the operators' watch that another reader has failed.
-func (r *Roster) doubt(what string) {
-	if what == operators {
-		return
-	}
+func (r *Roster) doubt() {
 	select {
 	case r.doubts <- struct{}{}:
 	default:
@@ -112,6 +144,7 @@
 			p.recovered()
 			at, readAt = seen, time.Now()
 			r.applyOperators(s, true, at)
+			r.succeeded()
 		}
 		s, next, err := r.watchOperators(ctx, registry, at, readAt)
 		switch {
@@ -132,6 +165,16 @@
 
 var errDoubted = errors.New("another reader of the registry failed")
 
+// near returns the number of hosts in this node's data centre.
+func (r *Roster) near() (n int) {
+	for _, e := range r.Placement().Servers {
+		if e.DataCentre == r.centre {
+			n++
+		}
+	}
+	return n
+}
+
 // watchOperators makes one watch. It ends with errDoubted when another reader
 // fails, but not sooner than doubtGap after the last whole read.
 func (r *Roster) watchOperators(ctx context.Context, registry prim.Registry, at uint64, readAt time.Time) (prim.OperatorState, uint64, error) {
@@ -145,7 +188,8 @@
 		case <-ctx.Done():
 		}
 	}(ctx)
-	s, next, err := registry.OperatorChanges(ctx, at, minWatch+rand.N(maxWatch-minWatch))
+	most := min(max(minWatch, watchStep*time.Duration(r.near())), maxWatch)
+	s, next, err := registry.OperatorChanges(ctx, at, most/4+rand.N(most*3/4))
 	if err != nil && errors.Is(context.Cause(ctx), errDoubted) {
 		err = errDoubted
 	}
@@ -237,7 +281,7 @@
 			}
 		}
 		if errors.Is(err, prim.ErrHistoryGone) {
-			r.doubt(p.what)
+			r.doubt()
 			at = 0
 			continue
 		}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -15,15 +15,19 @@
 
 // Config configures a Roster.
 type Config struct {
-	Logger *slog.Logger
+	// DataCentre is that of this node.
+	DataCentre prim.DataCentre
+	Logger     *slog.Logger
 }
 
 // Roster implements prim.Placements.
 type Roster struct {
 	log    *slog.Logger
+	centre prim.DataCentre
 	doubts chan struct{} // a reader of the registry has failed
 
 	mu       sync.RWMutex
+	read     chan struct{} // closed when the operators' reader has succeeded
 	now      *prim.Placement
 	changed  chan struct{}
 	routing  prim.Routing
@@ -41,7 +45,7 @@
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
 	return &Roster{
-		log: c.Logger, changed: make(chan struct{}), doubts: make(chan struct{}, 1),
+		log: c.Logger, centre: c.DataCentre, read: make(chan struct{}), changed: make(chan struct{}), doubts: make(chan struct{}, 1),
 		switches: make(map[prim.DataCentre]prim.CentreSwitch),
 		now:      prim.NewPlacement(prim.Routing{}, nil, nil),
 	}
--- /dev/null
+++ b/slots/slots_test.go
@@ -0,0 +1,205 @@
+package slots
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	prim "github.com/primrosethread/primrosethread"
+)
+
+var epoch = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+// testGate returns a gate whose server has 10 slots and is well.
+func testGate() gate {
+	g := newGate(New(Config{Host: "h", Service: "s"}).gate.c)
+	g.learn(epoch, Report{ID: "i-1", Slots: 10, Slowdown: 1, Healthy: true, Check: true})
+	return g
+}
+
+func testTicket(class prim.Class, patience, deadline time.Duration, now time.Time) *ticket {
+	return &ticket{wake: make(chan struct{}), request: &prim.Request{
+		Service: "s", Class: class, Patience: patience,
+		Objective: now.Add(deadline / 2), Deadline: now.Add(deadline),
+	}}
+}
+
+func admitted(t *ticket) bool { return t.decided && t.refusal == nil }
+
+// Guards against more requests at a cold server than it bears in any second, and
+// against more running requests than slots, whatever comes and goes.
+func TestBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := testGate()
+		rate := rapid.Float64Range(1, 30).Draw(t, "rate")
+		g.setRule(epoch, prim.ServiceRule{WarmUp: 3 * time.Second, WarmUpRate: rate})
+		now := epoch
+		var starts []time.Time
+		var running, waiting []*ticket
+		settle := func() {
+			g.advance(now)
+			for _, k := range g.takeDecided() {
+				if k.refusal == nil {
+					running = append(running, k)
+					if g.cold(now) {
+						starts = append(starts, now)
+					}
+				}
+			}
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 120).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				g.learn(now, Report{ID: "i-1", Slots: 10, Slowdown: 1, Healthy: true, Check: true,
+					ColdFor: time.Duration(rapid.IntRange(0, 3000).Draw(t, "cold")) * time.Millisecond})
+			case 1:
+				if len(running) > 0 {
+					g.done(now, running[0], prim.Attempt{Outcome: prim.Done})
+					running = running[1:]
+				}
+			case 2:
+				if len(waiting) > 0 {
+					k := waiting[0]
+					waiting = waiting[1:]
+					if !k.decided {
+						g.cancel(now, k, prim.ReasonCancelled)
+					}
+				}
+			default:
+				k := testTicket("c", time.Duration(rapid.IntRange(0, 500).Draw(t, "patience"))*time.Millisecond, time.Second, now)
+				g.offer(now, k)
+				waiting = append(waiting, k)
+			}
+			settle()
+			if len(running) > 10 || g.running != len(running) {
+				t.Fatalf("%d requests run, the gate counts %d, the server has 10 slots", len(running), g.running)
+			}
+			within := 0
+			for _, s := range starts {
+				if now.Sub(s) < time.Second {
+					within++
+				}
+			}
+			if within > int(rate) {
+				t.Fatalf("%d requests in one second at a cold server that bears %.1f", within, rate)
+			}
+		}
+	})
+}
+
+// Guards against requests that begin while the server is slowed down although
+// the slowdown would end sooner than the request: they keep the slowdown to
+// their end.
+func TestSlowdownIsWaitedOut(t *testing.T) {
+	is := is.New(t)
+	g := testGate()
+	g.usual["long"], g.usual["short"] = 100*time.Millisecond, 10*time.Millisecond
+	now := epoch.Add(time.Second)
+	g.learn(now, Report{Slowdown: 5})
+	long, short := testTicket("long", time.Second, time.Second, now), testTicket("short", time.Second, time.Second, now)
+	g.offer(now, long)
+	g.offer(now, short)
+	g.advance(now)
+	is.True(!long.decided)
+	is.True(admitted(short)) // 40 ms more is less than the wait
+	now = now.Add(100 * time.Millisecond)
+	g.learn(now, Report{Slowdown: 1})
+	g.advance(now)
+	is.True(admitted(long))
+}
+
+// Guards against a learned service time that is never used: an answered health
+// check must not make requests count as begun cold.
+func TestServiceTimeIsLearned(t *testing.T) {
+	is := is.New(t)
+	g := testGate()
+	k := testTicket("c", 0, time.Second, epoch)
+	g.offer(epoch, k)
+	g.learn(epoch.Add(20*time.Millisecond), Report{ID: "i-1", Slots: 10, Slowdown: 1, Healthy: true, Check: true})
+	g.done(epoch.Add(40*time.Millisecond), k, prim.Attempt{Outcome: prim.Done})
+	is.Equal(g.expected(k.request), 40*time.Millisecond)
+}
+
+// Guards against urgent requests that wait behind less urgent ones, and against
+// requests that can no longer meet their objective going before those that can.
+func TestOrder(t *testing.T) {
+	is := is.New(t)
+	g := testGate()
+	g.slots = 1
+	g.usual["c"] = 10 * time.Millisecond
+	now := epoch
+	first := testTicket("c", 0, time.Second, now)
+	g.offer(now, first)
+	late, plain, urgent := testTicket("c", time.Second, time.Second, now), testTicket("c", time.Second, time.Second, now), testTicket("c", time.Second, time.Second, now)
+	late.request.Objective = now.Add(time.Millisecond)
+	late.request.Priority, plain.request.Priority, urgent.request.Priority = 0, 2, 1
+	for _, k := range []*ticket{late, plain, urgent} {
+		g.offer(now, k)
+	}
+	for _, want := range []*ticket{urgent, plain, late} {
+		g.done(now, first, prim.Attempt{Outcome: prim.Done})
+		g.advance(now)
+		is.True(admitted(want))
+		first = want
+	}
+}
+
+// Guards against work for a server that leaves, is down, or is of another
+// service, and against a refusal that does not carry the load.
+func TestRefusals(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(g *gate)
+		reason prim.Reason
+	}{
+		"leaving": {func(g *gate) { g.setLeaving(true) }, prim.ReasonLeaving},
+		"down":    {func(g *gate) { g.down(epoch, nil) }, prim.ReasonUnreachable},
+		"other":   {func(g *gate) { g.c.Service = "other" }, prim.ReasonInstance},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := testGate()
+			waiting := testTicket("c", time.Second, time.Second, epoch)
+			c.change(&g)
+			g.offer(epoch, waiting)
+			is.True(waiting.decided)
+			is.Equal(waiting.refusal.Reason, c.reason)
+			is.Equal(waiting.refusal.Sample.Host, prim.HostName("h"))
+		})
+	}
+}
+
+// Guards against requests that wait at a server that has begun to leave.
+func TestLeavingRefusesWaiting(t *testing.T) {
+	is := is.New(t)
+	g := testGate()
+	g.slots = 1
+	g.offer(epoch, testTicket("c", 0, time.Second, epoch))
+	k := testTicket("c", time.Second, time.Second, epoch)
+	g.offer(epoch, k)
+	is.True(!k.decided)
+	g.setLeaving(true)
+	g.advance(epoch)
+	is.Equal(k.refusal.Reason, prim.ReasonLeaving)
+}
+
+// Guards against a server that is filled to the point where fewer requests are
+// done in a given time, and against one that is never filled again.
+func TestCrowding(t *testing.T) {
+	is := is.New(t)
+	g := testGate()
+	g.usual["c"] = 20 * time.Millisecond
+	is.Equal(g.limit(epoch), 10)
+	now := epoch
+	for range 20 {
+		k := testTicket("c", 0, time.Second, now)
+		k.begun, k.pace, k.crowded, k.decided = now, 1, true, true
+		g.running++
+		now = now.Add(34 * time.Millisecond)
+		g.done(now, k, prim.Attempt{Outcome: prim.Done})
+	}
+	is.Equal(g.limit(now), 8)
+	is.Equal(g.limit(now.Add(5*time.Minute)), 10)
+}
