mesh: metrics on a port of their own; smaller frames between data centres

Ruled out: pushed samples (sent within a data centre only) and compression (bodies are random). Change: fields that the other side knows are left out; an owner of another data centre may keep a request for 200 ms; slowdowns of far servers are believed for 120 ms. Metrics, status and expvar are served on -metrics-port.

--- a/cmd/primrosethread/mesh.go
+++ b/cmd/primrosethread/mesh.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -28,9 +29,14 @@
 	level := slog.LevelInfo
 	flags.TextVar(&level, "log-level", level, "least level of the log lines: DEBUG, INFO, WARN or ERROR")
 	perSecond := flags.Int("log-lines", 200, "most log lines per second")
+	port := flags.Uint("metrics-port", 0, "port of /metrics, /status and /debug/vars on the host's address; 0 for none")
 	if err := flags.Parse(args); errors.Is(err, flag.ErrHelp) || err != nil {
 		return exitUsage
 	}
+	if *port > math.MaxUint16 || *perSecond < 1 {
+		fmt.Fprintf(errs, "primrosethread mesh: -metrics-port %d or -log-lines %d is out of range; give a port up to %d and at least one line\n", *port, *perSecond, math.MaxUint16)
+		return exitUsage
+	}
 	settings, err := platform.ReadSettings(*path)
 	if err != nil {
 		fmt.Fprintln(errs, "primrosethread mesh:", err)
@@ -51,7 +57,7 @@
 		<-ended
 	}()
 	logger := slog.New(slog.NewJSONHandler(writer, &slog.HandlerOptions{Level: level})).With("Host", settings.Host)
-	n, err := mesh.New(mesh.Config{Settings: *settings, Path: *path, Hangup: hangup, Logger: logger, Version: version})
+	n, err := mesh.New(mesh.Config{Settings: *settings, Path: *path, MetricsPort: uint16(*port), Hangup: hangup, Logger: logger, Version: version})
 	if err == nil {
 		err = n.Run(ctx)
 	}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -34,10 +34,13 @@
 	Settings platform.Settings
 	// Path is the settings file, empty if it is not to be read again. Hangup
 	// gets a value when a signal asks for that; it may be nil.
-	Path    string
-	Hangup  <-chan os.Signal
-	Logger  *slog.Logger
-	Version string
+	Path   string
+	Hangup <-chan os.Signal
+	// MetricsPort is the port of metrics and status on the host's address; 0
+	// for none.
+	MetricsPort uint16
+	Logger      *slog.Logger
+	Version     string
 }
 
 // Node is one process of the mesh.
@@ -180,36 +183,46 @@
 	return a, err
 }
 
+// listening is one of the interfaces that a node serves.
+type listening struct {
+	what     string
+	at       netip.AddrPort
+	config   net.ListenConfig
+	server   *http.Server
+	listener net.Listener
+}
+
 // Run serves until the context ends, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	s := &n.c.Settings
-	var listeners [3]net.Listener
-	for i, l := range [...]struct {
-		what   string
-		at     netip.AddrPort
-		config net.ListenConfig
-	}{
-		{"callers", s.Callers, net.ListenConfig{}},
-		{"readiness and metrics", s.Ready, net.ListenConfig{}},
-		{"peers", s.Peers, peers.ListenConfig},
-	} {
+	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	router.Handle(peers.Path, n.peers.Handler())
+	callers := &http.Server{Handler: n.counted(n.front), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	status := &http.Server{Handler: n.readyRoutes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	metrics := &http.Server{Handler: n.statusRoutes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	links := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
+	interfaces := []listening{
+		{"callers", s.Callers, net.ListenConfig{}, callers, nil},
+		{"readiness", s.Ready, net.ListenConfig{}, status, nil},
+		{"peers", s.Peers, peers.ListenConfig, links, nil},
+	}
+	if n.c.MetricsPort > 0 {
+		at := netip.AddrPortFrom(s.Peers.Addr(), n.c.MetricsPort)
+		interfaces = append(interfaces, listening{"metrics", at, net.ListenConfig{}, metrics, nil})
+	}
+	for i := range interfaces {
+		l := &interfaces[i]
 		var err error
-		if listeners[i], err = l.config.Listen(ctx, "tcp", l.at.String()); err != nil {
+		if l.listener, err = l.config.Listen(ctx, "tcp", l.at.String()); err != nil {
 			return fmt.Errorf("listen for %s: %w; free the address or change the settings", l.what, err)
 		}
 	}
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 
-	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
-	router.Handle(peers.Path, n.peers.Handler())
-	callers := &http.Server{Handler: n.counted(n.front), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	status := &http.Server{Handler: n.statusRoutes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	links := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
-	servers := [...]*http.Server{callers, status, links}
-	served := make(chan error, len(servers))
-	for i, v := range servers {
-		go func(context.Context) { served <- v.Serve(listeners[i]) }(ctx)
+	served := make(chan error, len(interfaces))
+	for _, l := range interfaces {
+		go func(context.Context) { served <- l.server.Serve(l.listener) }(ctx)
 	}
 	ended := []<-chan error{
 		n.roster.Follow(background, n.registry, s.Republished),
@@ -227,12 +240,13 @@
 	links.Close()
 	n.peers.Close()
 	status.Close()
+	metrics.Close()
 	stop()
 	for _, e := range ended {
 		<-e
 	}
 	n.client.Close()
-	for range servers {
+	for range interfaces {
 		if e := <-served; !errors.Is(e, http.ErrServerClosed) {
 			err = errors.Join(err, e)
 		}
--- a/mesh/status.go
+++ b/mesh/status.go
@@ -3,7 +3,10 @@
 import (
 	"encoding/json"
 	"expvar"
+	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -54,7 +57,7 @@
 	return p.Routing.Version > 0 && len(p.Servers) > 0 && !n.stopping.Load()
 }
 
-func (n *Node) statusRoutes() http.Handler {
+func (n *Node) readyRoutes() http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc("/v1/readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if n.stopping.Load() {
@@ -64,14 +67,52 @@
 			http.Error(w, "routes or servers are missing, or the node is stopping; see /status", http.StatusServiceUnavailable)
 		}
 	})
+	return r
+}
+
+func (n *Node) statusRoutes() http.Handler {
+	r := mux.NewRouter()
 	r.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		json.NewEncoder(w).Encode(n.Status())
 	})
 	r.HandleFunc("/debug/vars", n.vars)
+	r.HandleFunc("/metrics", n.metrics)
 	return r
 }
 
+// metrics writes one figure per line, as name, labels and value.
+func (n *Node) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	s := n.Status()
+	line := func(name string, value any) { fmt.Fprintf(w, "Primrosethread%s %v\n", name, value) }
+	line("Routing", s.Routing)
+	line("RoutingAgeMs", s.RoutingAgeMs)
+	line("ServersAgeMs", s.ServersAgeMs)
+	line("Servers", s.Servers)
+	line("RegistryCalls", s.RegistryCalls)
+	line("InFlight", s.Load.InFlight)
+	line("Queued", s.Load.Queued)
+	line("Limit", s.Load.Limit)
+	line("Slowdown", s.Load.Slowdown)
+	line("LinksDialled", s.Peers.Dialled)
+	line("LinksAccepted", s.Peers.Accepted)
+	line("LinkBytesIn", s.Peers.BytesIn)
+	line("LinkBytesOut", s.Peers.BytesOut)
+	for _, name := range slices.Sorted(maps.Keys(s.Requests.Counters)) {
+		line("Count{Name=\""+name+"\"}", s.Requests.Counters[name])
+	}
+	for _, q := range s.Requests.Requests {
+		class := "{Class=\"" + string(q.Class) + "\"}"
+		line("Done"+class, q.Done)
+		line("NotRun"+class, q.NotRun)
+		line("Unknown"+class, q.Unknown)
+		line("ServerErrors"+class, q.ServerErrors)
+		line("LatencyP50Ms"+class, q.Latency.P50Ms)
+		line("LatencyP99Ms"+class, q.Latency.P99Ms)
+	}
+}
+
 // vars writes the variables of expvar and this node's own.
 func (n *Node) vars(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
--- a/peers/accept.go
+++ b/peers/accept.go
@@ -311,6 +311,9 @@
 func (a *acceptor) answer(h wire.Header, body []byte) error {
 	if h.Sample != nil {
 		s, ok := a.p.c.Carry(*h.Sample)
+		if s.Host == a.p.c.Self {
+			s.Host = "" // the other side knows whom it has dialled
+		}
 		h.Sample = &s
 		if !ok {
 			h.Sample = nil
--- a/peers/remote.go
+++ b/peers/remote.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync/atomic"
@@ -129,6 +130,7 @@
 	if h.Sample == nil {
 		return
 	}
+	h.Sample.Host = cmp.Or(h.Sample.Host, o.host)
 	s, ok := o.p.c.Received(o.host, *h.Sample)
 	h.Sample = &s
 	if !ok {
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -133,16 +133,20 @@
 	limit := max(1, float64(e.Slots))
 	load := pending
 	slowdown, steady := unknownSlowdown, 1.0
+	fresh := freshFor
+	if e.DataCentre != c.DataCentre {
+		fresh = farFreshFor
+	}
 	if known {
 		limit = max(1, float64(s.Limit))
 		load = max(pending, float64(s.InFlight+s.Queued))
-		if age < freshFor && s.Slowdown > 0 {
+		if age < fresh && s.Slowdown > 0 {
 			slowdown = s.Slowdown
 		}
 		if s.Steady > 0 {
 			steady = s.Steady
 		}
-		busy = s.Cold && s.ColdRoom == 0 && age < freshFor
+		busy = s.Cold && s.ColdRoom == 0 && age < fresh
 	}
 	busy = busy || load >= limit || slowdown >= slow*steady
 	// An owner keeps a request waiting if a slowdown is soon over.
--- a/relay/host.go
+++ b/relay/host.go
@@ -30,6 +30,9 @@
 	// freshFor is how long a reported slowdown is believed. Servers change it
 	// several times a second.
 	freshFor = 300 * time.Millisecond
+	// farFreshFor is the same for a host of another data centre, which does not
+	// tell when its slowdown ends.
+	farFreshFor = 120 * time.Millisecond
 	// heldFor is how long the number of running requests is believed.
 	heldFor = time.Second
 	// forget is the time constant with which failures and slowness fade.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -79,6 +79,9 @@
 	// patienceStep is how long an owner may keep a request at most before the
 	// servers are compared again.
 	patienceStep = 60 * time.Millisecond
+	// farPatienceStep is the same in another data centre, where each
+	// comparison costs a round trip and its bytes.
+	farPatienceStep = 200 * time.Millisecond
 	// fallbackRetryAfter goes to callers when no owner has named a time.
 	fallbackRetryAfter = 100 * time.Millisecond
 )
@@ -142,7 +145,7 @@
 		wait := busy || tries > eagerTries
 		if wait {
 			copied := *q
-			copied.Patience = k.patience(now)
+			copied.Patience = k.patience(now, h)
 			q = &copied
 		}
 		a, err := k.attempt(ctx, q, h)
@@ -163,7 +166,7 @@
 			continue
 		}
 		k.refusal = refusal
-		if refusal.Reason == prim.ReasonShed || refusal.Reason == prim.ReasonInstance && refusal.Sample.Service == k.request.Service {
+		if refusal.Reason == prim.ReasonShed || refusal.Reason == prim.ReasonInstance {
 			// It has reached the server, so another attempt is a repeat there.
 			if !k.again(true) {
 				return nil, refusal
@@ -198,8 +201,12 @@
 
 // patience is how long the owner may keep the request waiting: not so long that it
 // could not finish in time.
-func (k *call) patience(now time.Time) time.Duration {
-	return max(0, min(patienceStep, k.request.Deadline.Sub(now)-k.expected()))
+func (k *call) patience(now time.Time, h *host) time.Duration {
+	step := patienceStep
+	if h.centre != k.r.c.DataCentre {
+		step = farPatienceStep
+	}
+	return max(0, min(step, k.request.Deadline.Sub(now)-k.expected()))
 }
 
 // attempt hands the request to one owner and learns from the end.
--- a/request.go
+++ b/request.go
@@ -124,8 +124,6 @@
 	// holds them back.
 	Cold     bool `cbor:"9,keyasint,omitempty"`
 	ColdRoom int  `cbor:"10,keyasint,omitempty"`
-	// Service is what the server runs; empty if the owner does not tell.
-	Service Service `cbor:"11,keyasint,omitempty"`
 	// Routing is the version of the routes that the owner has.
 	Routing uint64 `cbor:"12,keyasint,omitempty"`
 	// Switches is the revision of the newest switch of a data centre there.
--- a/slots/gate.go
+++ b/slots/gate.go
@@ -169,7 +169,7 @@
 	r := t.request
 	switch {
 	case r.Service != g.c.Service:
-		g.refuse(now, t, prim.ReasonInstance, 0)
+		g.refuse(now, t, prim.ReasonNoHost, 0)
 	case g.leaving:
 		g.refuse(now, t, prim.ReasonLeaving, 0)
 	case g.server == "":
@@ -449,7 +449,6 @@
 func (g *gate) sample(now time.Time) prim.Sample {
 	s := prim.Sample{
 		Host:     g.c.Host,
-		Service:  g.c.Service,
 		InFlight: g.running,
 		Queued:   len(g.queue),
 		Limit:    g.limit(now),
