--- a/mesh/loops.go
+++ b/mesh/loops.go
@@ -197,10 +197,10 @@
 		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 		defer cancel()
 		if err := n.roster.Fetch(ctx, n.peers, h); err != nil {
-			n.log.Warn("state of another node not read", "Host", h, "Error", err)
+			n.log.Warn("state of another node not read", "Peer", h, "Error", err)
 			return
 		}
-		n.log.Info("state of another node taken", "Host", h)
+		n.log.Info("state of another node taken", "Peer", h)
 	}(context.Background())
 }
 
--- /dev/null
+++ b/mesh/mesh_test.go
@@ -0,0 +1,222 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/platform"
+	"github.com/primrosethread/primrosethread/stand"
+)
+
+// The tests run whole nodes in this process, each on a loopback address of its
+// own, with stand-ins of the store and the servers.
+
+const (
+	portCallers = 28141
+	portReady   = 28140
+	portPeers   = 27660
+	portServer  = 28147
+	portStore   = 28142
+)
+
+// site is a deployment under test.
+type site struct {
+	t     *testing.T
+	store *stand.Store
+	apps  []*stand.App
+	nodes []*Node
+	stops []context.CancelFunc
+	ends  []chan error
+}
+
+func address(i, port int) string { return fmt.Sprintf("127.0.4.%d:%d", i, port) }
+
+func (s *site) serve(at string, h http.Handler) {
+	s.t.Helper()
+	l, err := net.Listen("tcp", at)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	v := &http.Server{Handler: h}
+	go v.Serve(l)
+	s.t.Cleanup(func() { v.Close() })
+}
+
+// newSite starts a deployment with one server of the service orders on each host.
+func newSite(t *testing.T, hosts int) *site {
+	s := &site{t: t, store: stand.NewStore()}
+	s.serve(address(250, portStore), s.store)
+	s.route(1, "orders")
+	for i := range hosts {
+		app := stand.NewApp("orders", fmt.Sprintf("i-%d", i), 8, 5*time.Millisecond)
+		s.apps = append(s.apps, app)
+		s.serve(address(i+1, portServer), app)
+		s.publish(i, "ready")
+	}
+	for i := range hosts {
+		s.start(i)
+	}
+	for i := range hosts {
+		s.wait(func() bool {
+			return s.nodes[i].ready() && s.nodes[i].Status().Servers == hosts && s.apps[i].ID() == s.nodes[i].Status().Server
+		})
+	}
+	return s
+}
+
+func (s *site) publish(i int, state string) {
+	s.store.Put("servers/"+s.apps[i].ID(), map[string]any{
+		"service": "orders", "address": address(i+1, portServer), "zone": "a", "slots": 8, "state": state, "born": 1790000000000 + i,
+	})
+}
+
+// route publishes a version of the routes.
+func (s *site) route(version int, service string) {
+	s.store.Put("op/config", map[string]any{
+		"version": fmt.Sprintf("%08x", version),
+		"routes": map[string]any{"columns": []string{"name", "host", "prefix", "kind", "timeout_ms", "slo_ms", "priority", "service", "attempts"},
+			"rows": [][]any{{"r", "a.example", "/r/", "unsafe", 5000, 500, 1, service, 2}}},
+		"services": map[string]any{"columns": []string{"name", "health_path", "max_conns", "warmup_s", "warmup_per_s"},
+			"rows": [][]any{{"orders", "/healthz", 100, 1, 1000}, {"none", "/healthz", 100, 1, 1000}}},
+	})
+}
+
+func (s *site) start(i int) {
+	parse := netip.MustParseAddrPort
+	n, err := New(Config{Logger: slog.New(slog.DiscardHandler), Settings: platform.Settings{
+		Host: prim.HostName(strings.Split(address(i+1, 0), ":")[0]), DataCentre: "a", Service: "orders",
+		Server: parse(address(i+1, portServer)), Callers: parse(address(i+1, portCallers)), Ready: parse(address(i+1, portReady)),
+		Peers: parse(address(i+1, portPeers)), Store: parse(address(250, portStore)), DataCentres: 1,
+		Grace: 4 * time.Second, ColdFactor: 1, RepeatShare: 0.2, RepeatExtra: 50, RepeatWindow: 10 * time.Second, Republished: time.Second,
+	}})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	s.nodes, s.stops, s.ends = append(s.nodes, n), append(s.stops, stop), append(s.ends, ended)
+	s.t.Cleanup(func() {
+		stop()
+		n.asked.Add(misses) // no platform asks for readiness here
+		<-ended
+	})
+}
+
+// wait waits for something that is bound to happen.
+func (s *site) wait(f func() bool) {
+	s.t.Helper()
+	for !f() {
+		select {
+		case <-s.t.Context().Done():
+			s.t.Fatal("the test ended first")
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+// send sends a request to the node of a host.
+func (s *site) send(i int, id string) (int, string) {
+	s.t.Helper()
+	q, err := http.NewRequest("POST", "http://"+address(i+1, portCallers)+"/r/x", strings.NewReader("body"))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	q.Host = "a.example"
+	q.Header.Set("X-Attempt-Id", id)
+	q.Header.Set("X-Deadline-Ms", "5000")
+	resp, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	b, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(b)
+}
+
+// ranAt returns the host whose server ran a request, -1 for none.
+func (s *site) ranAt(id string) int {
+	for i, a := range s.apps {
+		for _, r := range a.Runs() {
+			if r.ID == id {
+				return i
+			}
+		}
+	}
+	return -1
+}
+
+// Guards against a break anywhere on the path of a request, on the same host and
+// between hosts, and against work for servers that leave: by their entry, by a
+// switched data centre, and by a planned stop of their node.
+func TestWholePath(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 2)
+	status, body := s.send(0, "q-1")
+	is.Equal(status, 200)
+	is.Equal(body, "orders answers q-1 with 4 bytes")
+	s.publish(0, "draining")
+	s.wait(func() bool { return s.nodes[0].Status().Load.Leaving })
+	status, _ = s.send(0, "q-2")
+	is.Equal(status, 200)
+	is.Equal(s.ranAt("q-2"), 1)
+	// The other server restarts: the request must not reach the old start.
+	s.publish(0, "ready")
+	s.store.Delete("servers/i-1")
+	s.apps[1].Restart()
+	s.publish(1, "ready")
+	s.wait(func() bool { return s.nodes[1].Status().Server == s.apps[1].ID() })
+	s.wait(func() bool { code, _ := s.send(1, "q-3"); return code == 200 })
+	is.True(s.ranAt("q-3") >= 0)
+	s.store.Put("op/evacuate/a", struct{}{})
+	s.wait(func() bool { return s.nodes[0].Status().Load.Leaving && s.nodes[1].Status().Load.Leaving })
+	status, _ = s.send(0, "q-4")
+	is.Equal(status, 503)
+	is.Equal(s.ranAt("q-4"), -1)
+	s.store.Delete("op/evacuate/a")
+	s.wait(func() bool {
+		return !s.nodes[0].Status().Load.Leaving && len(s.nodes[1].roster.Placement().InService("orders")) == 2
+	})
+	s.stops[0]()
+	s.wait(func() bool { return !s.nodes[0].ready() })
+	status, _ = s.send(0, "q-5") // still served while clients leave
+	is.Equal(status, 200)
+}
+
+// Guards against a node that knows nothing because the store turns it away: it
+// takes the state of a node that links to it.
+func TestStateFromPeer(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 2)
+	s.store.SetFault(stand.Deaf)
+	s.route(7, "none")
+	s.nodes[0].roster.SetRouting(prim.Routing{Version: 7, Routes: []prim.PathRoute{{
+		Name: "r", Authority: "a.example", Prefix: "/r/", Targets: []prim.Target{{Service: "none", Weight: 1}}, Attempts: 1,
+	}}}, "test")
+	s.wait(func() bool { return s.nodes[1].Status().Routing == 7 })
+	status, _ := s.send(1, "q-1")
+	is.Equal(status, 503)
+}
+
+// Guards against settings that a running node takes although it can't act on
+// them, and against bounds that a reload does not change.
+func TestReload(t *testing.T) {
+	is := is.New(t)
+	n, err := New(Config{Logger: slog.New(slog.DiscardHandler), Settings: platform.Settings{Host: "127.0.4.9", Service: "orders", Grace: time.Second}})
+	is.NoErr(err)
+	is.NoErr(n.Reload(&platform.Settings{Host: "127.0.4.9", Service: "orders", Grace: 9 * time.Second}))
+	is.Equal(n.settings().Grace, 9*time.Second)
+	is.True(n.Reload(&platform.Settings{Host: "127.0.4.9", Service: "stock"}) != nil)
+	is.Equal(n.settings().Service, prim.Service("orders"))
+}
--- a/peers/accept.go
+++ b/peers/accept.go
@@ -27,7 +27,7 @@
 	w.Header().Set(headerProof, countersign(p.c.Key, p.c.Self, p.c.Instance, r.Header.Get(headerProof)))
 	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
-		p.c.Logger.Warn("peer upgrade failed", "Host", from, "Error", err)
+		p.c.Logger.Warn("peer upgrade failed", "Peer", from, "Error", err)
 		return
 	}
 	if !p.begin() {
@@ -53,7 +53,7 @@
 	p.unlisten(a)
 	var malformed *wire.Malformed
 	if errors.As(err, &malformed) {
-		p.c.Logger.Warn("link closed", "Host", from, "Error", err)
+		p.c.Logger.Warn("link closed", "Peer", from, "Error", err)
 	}
 }
 
@@ -359,7 +359,7 @@
 	started := a.p.workers.run(func() {
 		defer func() { <-a.handling }()
 		if _, err := handler(ctx, a.host, prim.Message{Kind: h.Kind, Body: body}); err != nil {
-			a.p.c.Logger.Debug("control message failed", "Kind", h.Kind, "Host", a.host, "Error", err)
+			a.p.c.Logger.Debug("control message failed", "Kind", h.Kind, "Peer", a.host, "Error", err)
 		}
 	})
 	if !started {
--- a/peers/group.go
+++ b/peers/group.go
@@ -142,7 +142,7 @@
 	l.fail()
 	g.p.dialled.Add(-1)
 	if ctx.Err() == nil {
-		g.p.c.Logger.Info("link ended", "Host", g.host, "Error", err)
+		g.p.c.Logger.Info("link ended", "Peer", g.host, "Error", err)
 	}
 }
 
--- /dev/null
+++ b/peers/watch_test.go
@@ -0,0 +1,109 @@
+package peers_test
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/peers"
+	"github.com/primrosethread/primrosethread/stand"
+)
+
+// pair is two nodes without keys; b is reached through a proxy.
+type pair struct {
+	a, b    *peers.Peers
+	proxy   *stand.Proxy
+	pushed  chan prim.Sample
+	ended   chan prim.HostName
+	release chan struct{} // lets the owner at b answer
+}
+
+func newPair(t *testing.T) *pair {
+	is := is.New(t)
+	p := &pair{pushed: make(chan prim.Sample, 16), ended: make(chan prim.HostName, 16), release: make(chan struct{})}
+	owner := &fakeOwner{run: func(ctx context.Context, _ *prim.Request) (*prim.Answer, error) {
+		select {
+		case <-p.release:
+			return &prim.Answer{Status: 200}, nil
+		case <-ctx.Done():
+			return nil, &prim.Lost{Cause: ctx.Err()}
+		}
+	}}
+	var err error
+	p.b, err = peers.New(peers.Config{Self: "b", Instance: 2, Keyless: true, Local: owner,
+		Resolve: func(prim.HostName) (netip.AddrPort, bool) { return netip.AddrPort{}, false }})
+	is.NoErr(err)
+	server := httptest.NewServer(p.b.Handler())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	l.Close()
+	p.proxy, err = stand.NewProxy(address, server.Listener.Addr().String())
+	is.NoErr(err)
+	p.a, err = peers.New(peers.Config{Self: "a", Instance: 1, Keyless: true, Local: owner,
+		Resolve:  func(prim.HostName) (netip.AddrPort, bool) { return netip.MustParseAddrPort(address), true },
+		Received: func(_ prim.HostName, s prim.Sample) (prim.Sample, bool) { p.pushed <- s; return s, true },
+		Ended:    func(h prim.HostName) { p.ended <- h },
+	})
+	is.NoErr(err)
+	t.Cleanup(func() {
+		p.proxy.Close()
+		p.a.Close()
+		p.b.Close()
+		server.Close()
+	})
+	return p
+}
+
+// Guards against samples that do not reach the nodes that have dialled, and
+// against ones sent to hosts that are not to get them.
+func TestPublish(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	_, err := p.a.Ask(t.Context(), "b", prim.Message{Kind: peers.KindPing})
+	is.NoErr(err)
+	is.True(p.a.Linked("b"))
+	is.Equal(p.b.Publish(prim.Sample{InFlight: 7}, func(h prim.HostName) bool { return h != "a" }), 0)
+	is.Equal(p.b.Publish(prim.Sample{InFlight: 7}, func(h prim.HostName) bool { return h == "a" }), 1)
+	is.Equal((<-p.pushed).InFlight, 7)
+}
+
+// Guards against requests that hang on a link that has gone silent without a
+// reset, and against links that are closed while their host only works long.
+func TestSilentLink(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	const quiet, silent = 50 * time.Millisecond, 500 * time.Millisecond
+	ended := make(chan error, 1)
+	dispatch := func() {
+		_, err := p.a.Owner("b").Dispatch(t.Context(), &prim.Request{Deadline: time.Now().Add(time.Minute)})
+		ended <- err
+	}
+	go dispatch()
+	// The host answers pings while its server works.
+	for range 100 {
+		is.Equal(len(p.a.Check(quiet, silent)), 0)
+		time.Sleep(10 * time.Millisecond)
+	}
+	p.release <- struct{}{}
+	is.NoErr(<-ended)
+	go dispatch()
+	for p.b.Status().Serving == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	p.proxy.SetSilent(true, false)
+	var closed []prim.HostName
+	for len(closed) == 0 {
+		closed = p.a.Check(quiet, silent)
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(closed[0], prim.HostName("b"))
+	is.Equal(prim.OutcomeOf(<-ended), prim.Unknown)
+	is.Equal(<-p.ended, prim.HostName("b"))
+}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -68,9 +68,16 @@
 	return tooLate
 }
 
-// choose returns the host that is expected to answer first, and whether the
-// request would have to wait for a slot there.
-func (k *call) choose(now time.Time) (best *host, rank time.Duration, busy bool) {
+// choice is the host for the next attempt.
+type choice struct {
+	host *host // nil if there is none
+	rank time.Duration
+	busy bool // the request would have to wait for a slot
+	far  bool // the host is in another data centre
+}
+
+// choose returns the host that is expected to answer first.
+func (k *call) choose(now time.Time) (best choice) {
 	p := k.r.c.Placements.Placement()
 	lowest := tooLate
 	first := math.Inf(1)
@@ -79,7 +86,6 @@
 			continue
 		}
 		h := k.r.host(e.Host)
-		h.centre = e.DataCentre
 		v, wait, ok := k.rank(now, h, e)
 		if !ok {
 			continue
@@ -89,14 +95,12 @@
 			v += k.r.c.Detour.Seconds() * k.class.kilobytes()
 		}
 		v *= 1 + spread*rand.Float64()
-		if best == nil || t < lowest || t == lowest && v < first {
-			best, lowest, first, busy = h, t, v, wait
+		if best.host == nil || t < lowest || t == lowest && v < first {
+			lowest, first = t, v
+			best = choice{h, time.Duration(v * float64(time.Second)), wait, e.DataCentre != k.r.c.DataCentre}
 		}
 	}
-	if best == nil {
-		return nil, 0, false
-	}
-	return best, time.Duration(first * float64(time.Second)), busy
+	return best
 }
 
 // expected returns the service time of the request without slowdown, as far as
--- a/relay/host.go
+++ b/relay/host.go
@@ -12,7 +12,6 @@
 // host is what this node knows of one server and the way to it.
 type host struct {
 	name    prim.HostName
-	centre  prim.DataCentre
 	pending atomic.Int64 // this node's unanswered dispatches
 
 	mu      sync.Mutex
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -134,22 +134,22 @@
 		if !k.request.Deadline.After(now) {
 			return nil, k.refused(prim.ReasonExpired)
 		}
-		h, rank, busy := k.choose(now)
-		if h == nil {
+		c := k.choose(now)
+		if c.host == nil {
 			return nil, k.refused(prim.ReasonNoHost)
 		}
-		if busy && tries > 1 && !k.request.Deadline.After(now.Add(k.expected())) {
+		if c.busy && tries > 1 && !k.request.Deadline.After(now.Add(k.expected())) {
 			return nil, k.refused(prim.ReasonBusy)
 		}
 		q := k.request
-		wait := busy || tries > eagerTries
+		wait := c.busy || tries > eagerTries
 		if wait {
 			copied := *q
-			copied.Patience = k.patience(now, h)
+			copied.Patience = k.patience(now, c)
 			q = &copied
 		}
-		a, err := k.attempt(ctx, q, h)
-		k.log(tries, h, rank, q.Patience, a, err)
+		a, err := k.attempt(ctx, q, c)
+		k.log(tries, c, q.Patience, a, err)
 		if err == nil && (a.Status < 500 || !k.again(k.request.Idempotent && a.Rest == nil)) {
 			return a, nil
 		}
@@ -201,19 +201,20 @@
 
 // patience is how long the owner may keep the request waiting: not so long that it
 // could not finish in time.
-func (k *call) patience(now time.Time, h *host) time.Duration {
+func (k *call) patience(now time.Time, c choice) time.Duration {
 	step := patienceStep
-	if h.centre != k.r.c.DataCentre {
+	if c.far {
 		step = farPatienceStep
 	}
 	return max(0, min(step, k.request.Deadline.Sub(now)-k.expected()))
 }
 
 // attempt hands the request to one owner and learns from the end.
-func (k *call) attempt(ctx context.Context, q *prim.Request, h *host) (*prim.Answer, error) {
+func (k *call) attempt(ctx context.Context, q *prim.Request, c choice) (*prim.Answer, error) {
+	h := c.host
 	h.pending.Add(1)
 	defer h.pending.Add(-1)
-	if h.centre != k.r.c.DataCentre {
+	if c.far {
 		k.r.count("FarDispatches")
 	}
 	begin := time.Now()
@@ -250,17 +251,17 @@
 }
 
 // log writes a line for an attempt that did not simply succeed.
-func (k *call) log(try int, h *host, rank time.Duration, patience time.Duration, a *prim.Answer, err error) {
+func (k *call) log(try int, c choice, patience time.Duration, a *prim.Answer, err error) {
 	if err == nil && try == 1 && a.Status < 500 {
 		return
 	}
-	s, age := h.last(time.Now())
+	s, age := c.host.last(time.Now())
 	status := 0
 	if a != nil {
 		status = a.Status
 	}
-	k.r.c.Logger.Info("attempt", "ID", k.request.ID, "Try", try, "Service", k.request.Service, "Host", h.name,
-		"Estimate", rank, "Patience", patience, "InFlight", s.InFlight, "Limit", s.Limit, "Slowdown", s.Slowdown,
+	k.r.c.Logger.Info("attempt", "ID", k.request.ID, "Try", try, "Service", k.request.Service, "Target", c.host.name,
+		"Far", c.far, "Estimate", c.rank, "Patience", patience, "InFlight", s.InFlight, "Limit", s.Limit, "Slowdown", s.Slowdown,
 		"Cold", s.Cold, "SampleAge", age, "Outcome", prim.OutcomeOf(err).String(), "Status", status, "Error", err)
 }
 
