relay: a request that two owners can't finish in time is given up

Ruled out: a full queue (Queued was below its bound). Figures: the new test fails before (24 dispatches) and passes.

--- a/cmd/primrosethread/mesh.go
+++ b/cmd/primrosethread/mesh.go
@@ -12,7 +12,9 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
+	"github.com/primrosethread/primrosethread/config"
 	"github.com/primrosethread/primrosethread/logs"
 	"github.com/primrosethread/primrosethread/mesh"
 	"github.com/primrosethread/primrosethread/platform"
@@ -30,6 +32,10 @@
 	flags.TextVar(&level, "log-level", level, "least level of the log lines: DEBUG, INFO, WARN or ERROR")
 	perSecond := flags.Int("log-lines", 200, "most log lines per second")
 	port := flags.Uint("metrics-port", 0, "port of /metrics, /status and /debug/vars on the host's address; 0 for none")
+	if err := config.FromEnv(flags, os.LookupEnv); err != nil {
+		fmt.Fprintln(errs, "primrosethread mesh:", err)
+		return exitUsage
+	}
 	if err := flags.Parse(args); errors.Is(err, flag.ErrHelp) || err != nil {
 		return exitUsage
 	}
@@ -56,7 +62,7 @@
 		stop()
 		<-ended
 	}()
-	logger := slog.New(slog.NewJSONHandler(writer, &slog.HandlerOptions{Level: level})).With("Host", settings.Host)
+	logger := slog.New(slog.NewJSONHandler(writer, &slog.HandlerOptions{Level: level, ReplaceAttr: readable})).With("Host", settings.Host)
 	n, err := mesh.New(mesh.Config{Settings: *settings, Path: *path, MetricsPort: uint16(*port), Hangup: hangup, Logger: logger, Version: version})
 	if err == nil {
 		err = n.Run(ctx)
@@ -67,3 +73,11 @@
 	}
 	return exitOK
 }
+
+// readable writes durations with their unit.
+func readable(_ []string, a slog.Attr) slog.Attr {
+	if a.Value.Kind() == slog.KindDuration {
+		a.Value = slog.StringValue(a.Value.Duration().Round(10 * time.Microsecond).String())
+	}
+	return a
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -76,6 +76,9 @@
 	eagerTries = 3
 	// maxTries bounds the dispatches of one request, refused ones included.
 	maxTries = 24
+	// maxExpired is the number of owners that have to say that they can't finish
+	// a request in time before it is given up.
+	maxExpired = 2
 	// patienceStep is how long an owner may keep a request at most before the
 	// servers are compared again.
 	patienceStep = 60 * time.Millisecond
@@ -126,6 +129,7 @@
 
 // run makes attempts until one ends the request.
 func (k *call) run(ctx context.Context) (*prim.Answer, error) {
+	expired := 0 // owners that can't finish the request in time
 	for tries := 1; ; tries++ {
 		if ctx.Err() != nil {
 			return nil, &prim.Refusal{Reason: prim.ReasonCancelled}
@@ -172,7 +176,10 @@
 				return nil, refusal
 			}
 		}
-		if tries >= maxTries {
+		if refusal.Reason == prim.ReasonExpired {
+			expired++
+		}
+		if tries >= maxTries || expired >= maxExpired {
 			return nil, refusal
 		}
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -189,3 +189,16 @@
 	is.True(refusal.RetryAfter > 0)
 	is.Equal(prim.OutcomeOf(err), prim.NotRun)
 }
+
+// Guards against a request that goes from owner to owner although they say that it
+// can't be finished in time.
+func TestGivenUpWhenTooLate(t *testing.T) {
+	is := is.New(t)
+	f, r := newFleet()
+	for _, o := range f.owners {
+		o.run = refuse(prim.ReasonExpired)
+	}
+	_, err := r.Do(context.Background(), request(true))
+	is.Equal(prim.OutcomeOf(err), prim.NotRun)
+	is.Equal(len(f.order), 2)
+}
