relay, peers, mesh: smaller functions and files; a caller is answered at its deadline

Cause: the read-through: run in relay did four jobs, peers/watch.go three, and goroutines of mesh and roster ended without a report. A dispatch had no deadline of its own, so a frozen owner held the caller until its link was given up. Ruled out: the link check as the only bound (1.2 s against timeouts of 400 ms). Figures: TestSilentOwner fails without the deadline and passes.

--- a/mesh/loops.go
+++ b/mesh/loops.go
@@ -65,13 +65,16 @@
 		n.leave(byEntry, false)
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
+		ended := make(chan struct{})
 		go func(ctx context.Context) {
-			defer cancel()
-			for ctx.Err() == nil && (n.admitter.Server() == id || n.admitter.Server() == "") {
-				waits.Sleep(ctx, checkEvery)
-			}
+			defer close(ended)
+			n.roster.FollowServer(ctx, n.registry, id, n.settings().Republished, func(on bool) { n.leave(byEntry, on) })
 		}(ctx)
-		n.roster.FollowServer(ctx, n.registry, id, n.settings().Republished, func(on bool) { n.leave(byEntry, on) })
+		for ctx.Err() == nil && (n.admitter.Server() == id || n.admitter.Server() == "") {
+			waits.Sleep(ctx, checkEvery)
+		}
+		cancel()
+		<-ended
 	})
 }
 
@@ -167,31 +170,36 @@
 			}
 		}
 		n.peers.Check(quiet, silent)
-		if p.Routing.Version == 0 || len(p.Servers) == 0 {
-			for _, h := range n.peers.Callers() {
-				n.behind(h)
-				break
-			}
+		if callers := n.peers.Callers(); !n.informed() && len(callers) > 0 {
+			n.behind(callers[0])
 		}
 		waits.Sleep(ctx, tendEvery)
 	})
 }
 
-// behindGrace is how long this node waits for the registry before it asks
-// another node for a newer state.
-const behindGrace = 300 * time.Millisecond
+// catchUpGrace is how long this node waits for the registry before it asks another
+// node for a newer state.
+const catchUpGrace = 300 * time.Millisecond
 
-// behind fetches the state of a node that has something newer, unless a fetch is
-// under way.
+// behind notes a node that has something newer, or anything if this one has nothing.
 func (n *Node) behind(h prim.HostName) {
-	if !n.fetching.CompareAndSwap(false, true) {
-		return
+	select {
+	case n.ahead <- h:
+	default: // another one is about to be asked
 	}
-	go func(ctx context.Context) {
-		defer n.fetching.Store(false)
-		waits.Sleep(ctx, behindGrace)
-		p := n.roster.Placement()
-		if p.Routing.Version > 0 && len(p.Servers) > 0 && !n.roster.Behind(n.newest(h)) {
+}
+
+// catchUp takes the state of nodes that have something newer.
+func (n *Node) catchUp(ctx context.Context) <-chan error {
+	return loop(ctx, func(ctx context.Context) {
+		var h prim.HostName
+		select {
+		case h = <-n.ahead:
+		case <-ctx.Done():
+			return
+		}
+		waits.Sleep(ctx, catchUpGrace)
+		if n.informed() && !n.roster.Behind(n.relay.Last(h)) {
 			return
 		}
 		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
@@ -201,8 +209,11 @@
 			return
 		}
 		n.log.Info("state of another node taken", "Peer", h)
-	}(context.Background())
+	})
 }
 
-// newest returns the last sample of a host.
-func (n *Node) newest(h prim.HostName) prim.Sample { return n.relay.Last(h) }
+// informed reports whether routes and servers are known.
+func (n *Node) informed() bool {
+	p := n.roster.Placement()
+	return p.Routing.Version > 0 && len(p.Servers) > 0
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -61,10 +61,10 @@
 	recorder *stats.Recorder
 	leaving  leaving
 	stopping atomic.Bool
-	asked    atomic.Int64  // readiness checks since the stop began
-	calls    atomic.Int64  // requests of callers in progress
-	fetching atomic.Bool   // the state of another node is being read
-	checked  chan struct{} // asks for a health check at once
+	asked    atomic.Int64       // readiness checks since the stop began
+	calls    atomic.Int64       // requests of callers in progress
+	ahead    chan prim.HostName // a node that has something newer
+	checked  chan struct{}      // asks for a health check at once
 }
 
 // coldMargin is the share of the bound on cold servers that is used. The rest
@@ -78,7 +78,7 @@
 // New builds a node that serves nothing yet.
 func New(c Config) (*Node, error) {
 	s := &c.Settings
-	n := &Node{c: c, log: c.Logger, instance: prim.NewInstance(), recorder: stats.New(stats.Config{}), checked: make(chan struct{}, 1)}
+	n := &Node{c: c, log: c.Logger, instance: prim.NewInstance(), recorder: stats.New(stats.Config{}), checked: make(chan struct{}, 1), ahead: make(chan prim.HostName, 1)}
 	n.current.Store(s)
 	n.store = platform.NewClient(s.Store.String())
 	n.registry = platform.NewRegistry(n.store, n.log)
@@ -231,6 +231,7 @@
 		n.check(background),
 		n.publish(background),
 		n.tend(background),
+		n.catchUp(background),
 		n.followSettings(background),
 	}
 	n.log.Info("node started", "Service", s.Service, "DataCentre", s.DataCentre, "Callers", s.Callers, "Peers", s.Peers, "Instance", n.instance)
--- a/mesh/status.go
+++ b/mesh/status.go
@@ -53,8 +53,7 @@
 
 // ready reports whether clients may send requests here.
 func (n *Node) ready() bool {
-	p := n.roster.Placement()
-	return p.Routing.Version > 0 && len(p.Servers) > 0 && !n.stopping.Load()
+	return n.informed() && !n.stopping.Load()
 }
 
 func (n *Node) readyRoutes() http.Handler {
--- a/peers/watch.go
+++ b/peers/alive.go
@@ -1,7 +1,6 @@
 package peers
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"syscall"
@@ -47,75 +46,6 @@
 	return &http.Client{Transport: &http.Transport{DialContext: d.DialContext, DisableKeepAlives: false}}
 }
 
-func (p *Peers) listen(a *acceptor) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.listeners[a] = struct{}{}
-}
-
-func (p *Peers) unlisten(a *acceptor) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.listeners, a)
-}
-
-// Publish sends a load sample on one link of each host that has dialled this
-// node and that want accepts. It returns the number of frames written. A link
-// that another frame occupies is passed over.
-func (p *Peers) Publish(s prim.Sample, want func(prim.HostName) bool) (sent int) {
-	p.mu.RLock()
-	var to []*acceptor
-	told := make(map[prim.HostName]bool, len(p.listeners))
-	for a := range p.listeners {
-		if !told[a.host] && want(a.host) {
-			told[a.host] = true
-			to = append(to, a)
-		}
-	}
-	p.mu.RUnlock()
-	for _, a := range to {
-		ctx, cancel := context.WithTimeout(p.ctx, tellWait)
-		if ok, err := a.write(ctx, &wire.Header{Type: wire.Load, Sample: &s}, nil); ok && err == nil {
-			sent++
-		}
-		cancel()
-	}
-	return sent
-}
-
-// Callers returns the hosts that have dialled this node.
-func (p *Peers) Callers() (hosts []prim.HostName) {
-	p.mu.RLock()
-	defer p.mu.RUnlock()
-	for a := range p.listeners {
-		hosts = append(hosts, a.host)
-	}
-	return hosts
-}
-
-// Connect dials a host in the background if there is no link to it.
-func (p *Peers) Connect(h prim.HostName) {
-	g := p.group(h)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if len(g.links) == 0 && g.dialing == nil && !time.Now().Before(g.retryAt) {
-		g.startDial()
-	}
-}
-
-// Linked reports whether there is a link to a host.
-func (p *Peers) Linked(h prim.HostName) bool {
-	p.mu.RLock()
-	g := p.groups[h]
-	p.mu.RUnlock()
-	if g == nil {
-		return false
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return len(g.links) > 0
-}
-
 // Check looks after the dialled links. A host that owes an answer and has sent
 // nothing for quiet gets a ping; after silent its links are closed. It returns
 // the hosts whose links it closed.
@@ -157,20 +87,3 @@
 	l.next++
 	return l.next
 }
-
-// Drop closes the links to a host and forgets it.
-func (p *Peers) Drop(h prim.HostName) {
-	p.mu.Lock()
-	g := p.groups[h]
-	delete(p.groups, h)
-	p.mu.Unlock()
-	if g == nil {
-		return
-	}
-	g.mu.Lock()
-	links := append([]*link(nil), g.links...)
-	g.mu.Unlock()
-	for _, l := range links {
-		l.conn.CloseNow()
-	}
-}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -202,3 +203,26 @@
 	is.Equal(prim.OutcomeOf(err), prim.NotRun)
 	is.Equal(len(f.order), 2)
 }
+
+// Guards against a caller that waits beyond its deadline because an owner, or the
+// way to it, answers nothing.
+func TestSilentOwner(t *testing.T) {
+	for _, idempotent := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f, r := newFleet()
+			for _, o := range f.owners {
+				o.run = func(ctx context.Context, _ *prim.Request) (*prim.Answer, error) {
+					<-ctx.Done()
+					return nil, &prim.Lost{Cause: ctx.Err()}
+				}
+			}
+			q := request(idempotent)
+			q.Deadline = time.Now().Add(time.Second)
+			_, err := r.Do(context.Background(), q)
+			is.Equal(prim.OutcomeOf(err), prim.Unknown)
+			is.True(prim.IsTimeout(err))
+			is.True(time.Since(q.Deadline) < 100*time.Millisecond)
+		})
+	}
+}
--- a/roster/follow.go
+++ b/roster/follow.go
@@ -179,8 +179,13 @@
 // fails, but not sooner than doubtGap after the last whole read.
 func (r *Roster) watchOperators(ctx context.Context, registry prim.Registry, at uint64, readAt time.Time) (prim.OperatorState, uint64, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
+	ended := make(chan struct{})
+	defer func() {
+		cancel(nil)
+		<-ended
+	}()
 	go func(ctx context.Context) {
+		defer close(ended)
 		waits.Sleep(ctx, doubtGap-time.Since(readAt))
 		select {
 		case <-r.doubts:
