soak: runs at the same time have addresses of their own

Ruled out: a leftover of an earlier test; the address was that of the soak. Change: -network chooses the loopback addresses; the test has another one.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -21,7 +21,12 @@
 	flag.IntVar(&c.hosts, "hosts", 6, "number of hosts, 4 to 200")
 	flag.StringVar(&c.program, "program", "bin/primrosethread", "the node's program")
 	flag.StringVar(&c.folder, "folder", "", "folder for settings and logs; default: a temporary one, removed after a good run")
+	flag.IntVar(&c.network, "network", 2, "third number of the hosts' loopback addresses, 1 to 250; runs at the same time need different ones, two apart")
 	flag.Parse()
+	if c.network < 1 || c.network > 250 {
+		fmt.Fprintln(os.Stderr, "soak: -network", c.network, "is out of range; give 1 to 250")
+		os.Exit(2)
+	}
 	if c.hosts < 4 || c.hosts > 200 {
 		fmt.Fprintln(os.Stderr, "soak: -hosts", c.hosts, "is out of range; give 4 to 200")
 		os.Exit(2)
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -18,7 +18,7 @@
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
-	report, err := run(t.Context(), config{seed: *seed, length: 8 * time.Second, hosts: 6, program: program})
+	report, err := run(t.Context(), config{seed: *seed, length: 8 * time.Second, hosts: 6, program: program, network: 6})
 	t.Log(report)
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/soak/world.go
+++ b/cmd/soak/world.go
@@ -24,11 +24,16 @@
 	hosts   int
 	program string
 	folder  string
+	network int // third number of the hosts' addresses
 }
 
-// Ports on every host's loopback address. Hosts have the addresses 127.0.2.n;
-// 127.0.3.n are proxies before the nodes of every second host, so that links to
-// them can be harmed.
+// host returns the address of a host, proxy that of its proxies.
+func (c config) host(i int) string  { return fmt.Sprintf("127.0.%d.%d", c.network, i+1) }
+func (c config) proxy(i int) string { return fmt.Sprintf("127.0.%d.%d", c.network+1, i+1) }
+
+// Ports on every host's loopback address. Hosts have the addresses 127.0.N.n with
+// N = config.network; 127.0.N+1.n are proxies before the nodes of every second pair
+// of hosts, so that links to them can be harmed.
 const (
 	portCallers = 18141
 	portReady   = 18140
@@ -104,13 +109,13 @@
 			return nil, err
 		}
 	}
-	storeAt := fmt.Sprintf("127.0.2.250:%d", portStore)
+	storeAt := fmt.Sprintf("127.0.%d.250:%d", c.network, portStore)
 	if w.web, err = serveAt(storeAt, w.store); err != nil {
 		return nil, err
 	}
 	for i := range c.hosts {
 		h := &host{
-			name: fmt.Sprintf("h%d", i), ip: fmt.Sprintf("127.0.2.%d", i+1), centre: fmt.Sprintf("c%d", i%centres),
+			name: fmt.Sprintf("h%d", i), ip: c.host(i), centre: fmt.Sprintf("c%d", i%centres),
 			app: stand.NewApp([]string{"orders", "stock"}[i/centres%2], fmt.Sprintf("i-%d", i), slots, work),
 		}
 		h.app.WarmUp = coldFor
@@ -119,12 +124,12 @@
 			return nil, err
 		}
 		if i%4 >= 2 {
-			h.entryIP = fmt.Sprintf("127.0.3.%d", i+1)
+			h.entryIP = c.proxy(i)
 			if h.proxy, err = stand.NewProxy(fmt.Sprintf("%s:%d", h.entryIP, portPeers), fmt.Sprintf("%s:%d", h.ip, portPeers)); err != nil {
 				return nil, err
 			}
 		}
-		if h.store, err = stand.NewProxy(fmt.Sprintf("127.0.3.%d:%d", i+1, portStore), storeAt); err != nil {
+		if h.store, err = stand.NewProxy(fmt.Sprintf("%s:%d", c.proxy(i), portStore), storeAt); err != nil {
 			return nil, err
 		}
 		w.hosts = append(w.hosts, h)
@@ -161,7 +166,7 @@
 		"listen":     map[string]string{"outbound": fmt.Sprintf("%s:%d", h.ip, portCallers), "ready": fmt.Sprintf("%s:%d", h.ip, portReady)},
 		"port_range": []int{portPeers, portPeers + 9}, "heartbeat_ms": heartbeat.Milliseconds(), "limits": map[string]int{"memory_mb": 256},
 		"bounds":   []string{"grace_s=6", "warmup_overage=1", "warmup_slack=5", "retry_ratio=0.2", "retry_slack=50", "retry_window_s=10"},
-		"platform": map[string]string{"address": fmt.Sprintf("127.0.3.%d:%d", i+1, portStore)},
+		"platform": map[string]string{"address": fmt.Sprintf("%s:%d", w.c.proxy(i), portStore)},
 	})
 	if err != nil {
 		return err
