--- a/owner/owner.go
+++ b/owner/owner.go
@@ -82,7 +82,7 @@
 	if !errors.As(err, &refusal) {
 		return nil, o.refuse(prim.ReasonExpired)
 	}
-	return nil, &prim.Refusal{Reason: refusal.Reason, Host: o.c.Host, Sample: o.Sample()}
+	return nil, &prim.Refusal{Reason: refusal.Reason, Host: o.c.Host, Sample: o.Sample(), RetryAfter: refusal.RetryAfter}
 }
 
 func (o *Owner) refuse(reason prim.Reason) error {
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -33,3 +34,26 @@
 		is.Equal((<-a.done).Outcome, prim.NotRun)
 	}
 }
+
+// refusing is an admitter that refuses everything.
+type refusing struct {
+	prim.Admitter
+	after time.Duration
+}
+
+func (r refusing) Admit(context.Context, *prim.Request) (prim.Slot, error) {
+	return nil, &prim.Refusal{Reason: prim.ReasonBusy, RetryAfter: r.after}
+}
+
+func (refusing) Sample() prim.Sample { return prim.Sample{} }
+
+// Guards against a refusal that loses the time at which the admitter expects room,
+// so that callers come back too early or too late.
+func TestRefusalKeepsRetryAfter(t *testing.T) {
+	is := is.New(t)
+	o := owner.New(owner.Config{Host: "h", Admitter: refusing{after: 300 * time.Millisecond}})
+	_, err := o.Dispatch(t.Context(), &prim.Request{})
+	var refusal *prim.Refusal
+	is.True(errors.As(err, &refusal))
+	is.Equal(refusal.RetryAfter, 300*time.Millisecond)
+}
--- a/relay/call.go
+++ b/relay/call.go
@@ -130,6 +130,7 @@
 		return c, nil, k.refused(prim.ReasonBusy)
 	}
 	q := *k.request
+	q.Reoffered = k.tries > 1
 	if c.busy || k.tries > eagerTries || c.far && slices.Contains(k.refusedBy, c.host.name) {
 		q.Patience = k.patience(now, c)
 	}
--- a/request.go
+++ b/request.go
@@ -68,6 +68,8 @@
 	Objective time.Time
 	// Patience is how long the owner may keep the request waiting for a slot.
 	Patience time.Duration
+	// Reoffered is set when an owner has refused the request before.
+	Reoffered bool
 	// Attempts is the number of servers that may get the request; 0 means no
 	// bound.
 	Attempts int
--- a/slots/gate.go
+++ b/slots/gate.go
@@ -75,15 +75,22 @@
 	crowd     crowd
 	coldUntil time.Time
 	running   int
-	starts    []time.Time // within coldWindow, oldest first
-	queue     []*ticket   // most urgent first
+	starts    []start         // within coldWindow, oldest first
+	demands   map[int]*demand // by priority
+	queue     []*ticket       // most urgent first
 	decided   []*ticket
 	usual     map[prim.Class]time.Duration // service time without slowdown
 	overall   time.Duration                // mean of usual, weighted by use
 }
 
+// start is a request that the server was given.
+type start struct {
+	at       time.Time
+	priority int
+}
+
 func newGate(c Config) gate {
-	return gate{c: c, usual: make(map[prim.Class]time.Duration), spell: firstSpell}
+	return gate{c: c, usual: make(map[prim.Class]time.Duration), demands: make(map[int]*demand), spell: firstSpell}
 }
 
 // told returns the number of slots that the server has.
@@ -115,12 +122,15 @@
 	if g.rule.WarmUpRate <= 0 {
 		return g.limit(now)
 	}
-	return max(0, int(g.c.ColdRate(g.rule.WarmUpRate))-len(g.starts))
+	return max(0, int(g.coldBound())-len(g.starts))
 }
 
+// coldBound returns how many requests a cold server may get within coldWindow.
+func (g *gate) coldBound() float64 { return g.c.ColdRate(g.rule.WarmUpRate) }
+
 func (g *gate) expireStarts(now time.Time) {
 	n := 0
-	for n < len(g.starts) && now.Sub(g.starts[n]) >= coldWindow {
+	for n < len(g.starts) && now.Sub(g.starts[n].at) >= coldWindow {
 		n++
 	}
 	g.starts = slices.Delete(g.starts, 0, n)
@@ -146,14 +156,20 @@
 }
 
 // free reports whether a request may begin now.
-func (g *gate) free(now time.Time) bool {
-	return g.running < g.limit(now) && (!g.cold(now) || g.coldRoom(now) > 0)
+func (g *gate) free(now time.Time, t *ticket) bool {
+	if g.running >= g.limit(now) {
+		return false
+	}
+	return !g.cold(now) || g.rule.WarmUpRate <= 0 || g.coldRoom(now) > g.roomKept(now, t.request.Priority)
 }
 
 // offer admits, queues or refuses a new ticket.
 func (g *gate) offer(now time.Time, t *ticket) {
 	t.offered = now
 	r := t.request
+	if !r.Reoffered {
+		g.want(now, r.Priority)
+	}
 	switch {
 	case r.Service != g.c.Service:
 		g.refuse(now, t, prim.ReasonNoHost, 0)
@@ -163,7 +179,7 @@
 		g.refuse(now, t, prim.ReasonUnreachable, 0)
 	case !r.Deadline.After(now):
 		g.refuse(now, t, prim.ReasonExpired, 0)
-	case len(g.queue) == 0 && g.free(now) && !g.hold(now, t):
+	case g.free(now, t) && g.ahead(now, t) == 0 && !g.hold(now, t):
 		g.begin(now, t)
 	case r.Patience <= 0, len(g.queue) >= maxWaiting*g.limit(now):
 		g.refuse(now, t, prim.ReasonBusy, g.wait(now, t))
@@ -221,19 +237,24 @@
 	return now.Add(holdStep + time.Duration(dueMargin*float64(e))).Before(t.request.Deadline)
 }
 
-// wait estimates the time until a new ticket could begin.
-func (g *gate) wait(now time.Time, t *ticket) time.Duration {
-	ahead := 0
+// ahead returns the number of waiting tickets that go before a new one.
+func (g *gate) ahead(now time.Time, t *ticket) (n int) {
 	order := g.compare(now)
 	for _, q := range g.queue {
 		if order(q, t) <= 0 {
-			ahead++
+			n++
 		}
 	}
+	return n
+}
+
+// wait estimates the time until a new ticket could begin.
+func (g *gate) wait(now time.Time, t *ticket) time.Duration {
+	ahead := g.ahead(now, t)
 	e := time.Duration(g.pace(now) * float64(g.overall))
 	d := e * time.Duration(max(0, g.running+ahead+1-g.limit(now))) / time.Duration(g.limit(now))
 	if g.cold(now) && g.coldRoom(now) <= ahead && len(g.starts) > 0 {
-		d = max(d, coldWindow-now.Sub(g.starts[min(ahead, len(g.starts)-1)]))
+		d = max(d, coldWindow-now.Sub(g.starts[min(ahead, len(g.starts)-1)].at))
 	}
 	return max(d, minRetryAfter)
 }
@@ -259,14 +280,14 @@
 			g.refuse(now, t, prim.ReasonUnreachable, 0)
 		case !r.Deadline.After(now.Add(e)):
 			g.refuse(now, t, prim.ReasonExpired, minRetryAfter)
-		case !g.free(now):
+		case !g.free(now, t):
 			if !now.Before(t.offered.Add(r.Patience)) {
 				g.refuse(now, t, prim.ReasonBusy, g.wait(now, t))
 				continue
 			}
 			at(t.offered.Add(r.Patience).Sub(now))
 			if g.running < g.limit(now) && len(g.starts) > 0 {
-				at(coldWindow - now.Sub(g.starts[0]))
+				at(coldWindow - now.Sub(g.starts[0].at))
 			}
 			kept = append(kept, t)
 		case g.hold(now, t):
@@ -287,7 +308,7 @@
 	t.slowed = t.pace >= slow*g.steadyPace(now)
 	t.crowded = float64(g.running) > crowdShare*float64(g.told())
 	g.expireStarts(now)
-	g.starts = append(g.starts, now)
+	g.starts = append(g.starts, start{now, t.request.Priority})
 	g.decide(t)
 }
 
--- a/slots/slots_test.go
+++ b/slots/slots_test.go
@@ -276,3 +276,64 @@
 	}
 	is.Equal(started, 5)
 }
+
+// offered returns a ticket of a priority that was offered and may wait.
+func offered(g *gate, now time.Time, class prim.Class, priority int) *ticket {
+	k := testTicket(class, 0, time.Second, now)
+	k.request.Priority = priority
+	g.offer(now, k)
+	return k
+}
+
+// Guards against less urgent requests that use up at once what a cold server
+// bears in a second, so that the more urgent ones wait for the rest of it.
+func TestColdRoomIsKeptForUrgentRequests(t *testing.T) {
+	is := is.New(t)
+	g := testGate()
+	g.setRule(epoch, prim.ServiceRule{WarmUp: 3 * time.Second, WarmUpRate: 20})
+	cold := func(now time.Time) {
+		g.learn(now, Report{ID: "i-1", Slots: 10, Slowdown: 1, Healthy: true, Check: true, ColdFor: 2 * time.Second})
+	}
+	now := epoch
+	cold(now)
+	for s := range 60 {
+		// Ten urgent requests a second, and others as soon as there is room.
+		now = now.Add(100 * time.Millisecond)
+		cold(now)
+		k := offered(&g, now, "urgent", 0)
+		if s >= 12 {
+			is.True(admitted(k)) // the first window had no history
+		}
+		if admitted(k) {
+			g.done(now, k, prim.Attempt{Outcome: prim.Done})
+		}
+		for {
+			o := offered(&g, now, "other", 1)
+			if !admitted(o) {
+				break
+			}
+			g.done(now, o, prim.Attempt{Outcome: prim.Done})
+		}
+	}
+}
+
+// Guards against an urgent request that counts anew each time it comes again: room
+// would stay unused that others need.
+func TestReofferedRequestsKeepNoMore(t *testing.T) {
+	is := is.New(t)
+	g := testGate()
+	now := epoch
+	for range 60 {
+		now = now.Add(time.Second / 3)
+		for try := range 5 {
+			k := testTicket("urgent", 0, time.Second, now)
+			k.request.Reoffered = try > 0
+			g.offer(now, k)
+			if admitted(k) {
+				g.done(now, k, prim.Attempt{Outcome: prim.Done})
+			}
+		}
+	}
+	g.setRule(now, prim.ServiceRule{WarmUp: 3 * time.Second, WarmUpRate: 20})
+	is.True(g.roomKept(now, 1) <= 3) // three come in a second
+}
--- a/wire/convert.go
+++ b/wire/convert.go
@@ -32,6 +32,7 @@
 		Origin:     r.Origin,
 		Priority:   r.Priority,
 		Patience:   r.Patience,
+		Reoffered:  r.Reoffered,
 	}
 	if !r.KeyCreated.IsZero() {
 		h.KeyCreated = r.KeyCreated.UnixMilli()
@@ -63,6 +64,7 @@
 		Origin:     h.Origin,
 		Priority:   h.Priority,
 		Patience:   min(h.Patience, prim.MaxTimeout),
+		Reoffered:  h.Reoffered,
 	}
 	if h.Objective != 0 {
 		r.Objective = now.Add(min(h.Objective, prim.MaxTimeout))
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -93,6 +93,8 @@
 	Patience  time.Duration `cbor:"31,keyasint,omitempty"`
 	// RetryAfter goes with a refusal.
 	RetryAfter time.Duration `cbor:"32,keyasint,omitempty"`
+	// Reoffered is set when an owner has refused the request before.
+	Reoffered bool `cbor:"33,keyasint,omitempty"`
 }
 
 // Malformed is the error of a frame that can't be read. The link it came from
