roster: few nodes of a data centre follow the registry; the others hear from them

Ruled out: watches of random length at every node (before this; costs a call for each node and change), an elected reader (a second protocol; one frozen host costs all).

Change: one watch on all keys; the first 2 + n/16 hosts of a data centre in a hash order read, a node that hears from fewer than two readers within 0.7 s reads as well. Samples tell the revision, the age of the state and whether the sender reads; who is behind asks for what changed since its own revision. A reader asks for news when the state is older than 1.5 to 3 s. The registry port shrinks from five calls to two. Removals of most servers at once are taken for an outage of the store and kept 2 s.

--- a/mesh/loops.go
+++ b/mesh/loops.go
@@ -43,6 +43,7 @@
 		if err == nil {
 			failed = 0
 			n.admitter.Learn(r)
+			n.followEntry()
 		} else if failed++; failed >= downAfter {
 			n.admitter.Down(err)
 		}
@@ -54,28 +55,19 @@
 	})
 }
 
-// followServer watches the entry of whatever server runs on this host.
-func (n *Node) followServer(ctx context.Context) <-chan error {
-	return loop(ctx, func(ctx context.Context) {
-		id := n.admitter.Server()
-		if id == "" {
-			waits.Sleep(ctx, checkEvery)
-			return
-		}
-		n.leave(byEntry, false)
-		ctx, cancel := context.WithCancel(ctx)
-		defer cancel()
-		ended := make(chan struct{})
-		go func(ctx context.Context) {
-			defer close(ended)
-			n.roster.FollowServer(ctx, n.registry, id, n.settings().Republished, func(on bool) { n.leave(byEntry, on) })
-		}(ctx)
-		for ctx.Err() == nil && (n.admitter.Server() == id || n.admitter.Server() == "") {
-			waits.Sleep(ctx, checkEvery)
-		}
-		cancel()
-		<-ended
-	})
+// followEntry leaves while the entry of the server on this host drains or is gone.
+// A server that is not listed yet may be used.
+func (n *Node) followEntry() {
+	id := n.admitter.Server()
+	if id == "" {
+		return
+	}
+	if id != n.entry {
+		n.entry, n.listed = id, false
+	}
+	e := n.roster.Placement().Entry(id)
+	n.listed = n.listed || e != nil
+	n.leave(byEntry, e != nil && e.Draining || e == nil && n.listed)
 }
 
 // followPlacement applies what is published to this host.
@@ -110,7 +102,7 @@
 
 // publish pushes the load of the server to the nodes of this data centre when it
 // has changed much. Others get it with answers, since links between data centres
-// are dear.
+// are dear, but they are told of published changes at once.
 func (n *Node) publish(ctx context.Context) <-chan error {
 	var last prim.Sample
 	var at time.Time
@@ -118,18 +110,24 @@
 		e := n.roster.Placement().Host(h)
 		return e != nil && e.DataCentre == n.settings().DataCentre
 	}
+	all := func(prim.HostName) bool { return true }
 	return loop(ctx, func(ctx context.Context) {
 		select {
 		case <-ctx.Done():
 			return
 		case <-n.admitter.Changed():
+		case <-n.roster.Changed():
 		case <-time.After(max(0, publishEvery-time.Since(at))):
 		}
-		s := n.stamp(n.admitter.Sample())
+		s := n.roster.Stamp(time.Now(), n.admitter.Sample())
 		if !differs(s, last) && time.Since(at) < publishEvery {
 			return
 		}
-		n.peers.Publish(s, near)
+		to := near
+		if s.Revision != last.Revision {
+			to = all
+		}
+		n.peers.Publish(s, to)
 		last, at = s, time.Now()
 		waits.Sleep(ctx, publishGap)
 	})
@@ -144,7 +142,7 @@
 	full := func(s prim.Sample) bool { return s.InFlight >= s.Limit || s.Cold && s.ColdRoom == 0 }
 	slow := func(s prim.Sample) bool { return s.Slowdown >= slow*s.Steady }
 	return full(a) != full(b) || slow(a) != slow(b) || a.Leaving != b.Leaving || a.Cold != b.Cold ||
-		a.Failing != b.Failing || a.Routing != b.Routing || a.Switches != b.Switches
+		a.Failing != b.Failing || a.Revision != b.Revision || a.Reading != b.Reading
 }
 
 const (
@@ -177,8 +175,8 @@
 	})
 }
 
-// catchUpGrace is how long this node waits for the registry before it asks another
-// node for a newer state.
+// catchUpGrace is how long a node that follows the registry waits for that before it
+// asks another node for a newer state.
 const catchUpGrace = 300 * time.Millisecond
 
 // behind notes a node that has something newer, or anything if this one has nothing.
@@ -198,7 +196,9 @@
 		case <-ctx.Done():
 			return
 		}
-		waits.Sleep(ctx, catchUpGrace)
+		if n.roster.Stamp(time.Now(), prim.Sample{}).Reading {
+			waits.Sleep(ctx, catchUpGrace)
+		}
 		if n.informed() && !n.roster.Behind(n.relay.Last(h)) {
 			return
 		}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -60,6 +60,8 @@
 	front    *platform.Front
 	recorder *stats.Recorder
 	leaving  leaving
+	entry    string // id of the server whose entry was looked for last
+	listed   bool   // it was found
 	stopping atomic.Bool
 	asked    atomic.Int64       // readiness checks since the stop began
 	calls    atomic.Int64       // requests of callers in progress
@@ -82,7 +84,7 @@
 	n.current.Store(s)
 	n.store = platform.NewClient(s.Store.String())
 	n.registry = platform.NewRegistry(n.store, n.log)
-	n.roster = roster.New(roster.Config{DataCentre: s.DataCentre, Logger: n.log})
+	n.roster = roster.New(roster.Config{Host: s.Host, DataCentre: s.DataCentre, Logger: n.log})
 	var err error
 	n.peers, err = peers.New(peers.Config{
 		Self:     s.Host,
@@ -91,7 +93,7 @@
 		Resolve:  n.resolve,
 		Seen:     func(h prim.HostName, _ prim.Instance) { n.relay.Linked(h) },
 		Ended:    func(h prim.HostName) { n.relay.Unlinked(h) },
-		Carry:    func(s prim.Sample) (prim.Sample, bool) { return n.stamp(s), true },
+		Carry:    func(s prim.Sample) (prim.Sample, bool) { return n.roster.Stamp(time.Now(), s), true },
 		Received: n.received,
 		Logger:   n.log,
 		// Links to hosts that lost power have to fail soon.
@@ -150,17 +152,10 @@
 	return netip.AddrPortFrom(a, n.c.Settings.Peers.Port()), err == nil
 }
 
-// stamp adds the versions of what this node knows to a sample.
-func (n *Node) stamp(s prim.Sample) prim.Sample {
-	p := n.roster.Placement()
-	s.Routing, s.Switches = p.Routing.Version, p.Revision()
-	return s
-}
-
 // received takes a sample of another owner.
 func (n *Node) received(h prim.HostName, s prim.Sample) (prim.Sample, bool) {
 	n.relay.Observe(h, s)
-	if n.roster.Behind(s) {
+	if n.roster.Heard(time.Now(), h, s) {
 		n.behind(h)
 	}
 	return s, true
@@ -226,7 +221,6 @@
 	}
 	ended := []<-chan error{
 		n.roster.Follow(background, n.registry, s.Republished),
-		n.followServer(background),
 		n.followPlacement(background),
 		n.check(background),
 		n.publish(background),
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -202,7 +202,7 @@
 	is := is.New(t)
 	s := newSite(t, 2)
 	// The store does not have this version, so only node 0 can tell it.
-	s.nodes[0].roster.SetRouting(prim.Routing{Version: 7, Routes: []prim.PathRoute{{
+	s.nodes[0].roster.SetRouting(prim.Routing{Version: 7, Revision: 1000, Routes: []prim.PathRoute{{
 		Name: "r", Authority: "a.example", Prefix: "/r/", Targets: []prim.Target{{Service: "none", Weight: 1}}, Attempts: 1,
 	}}}, "test")
 	s.wait(func() bool { return s.nodes[1].Status().Routing == 7 })
--- a/mesh/status.go
+++ b/mesh/status.go
@@ -28,24 +28,24 @@
 	Server string
 	Load   prim.Sample
 	// Routing is the version of the routes, RoutingAgeMs the time since it was
-	// received, ServersAgeMs the time since the list of servers was confirmed.
-	Routing                    uint64
-	RoutingAgeMs, ServersAgeMs int64
-	Servers                    int
-	RegistryCalls              int64
-	Requests                   stats.Snapshot
-	Peers                      peers.Status
+	// received, StateAgeMs the time since what is published was last known to be current.
+	Routing                  uint64
+	RoutingAgeMs, StateAgeMs int64
+	Servers                  int
+	RegistryCalls            int64
+	Requests                 stats.Snapshot
+	Peers                    peers.Status
 }
 
 // Status returns the current state.
 func (n *Node) Status() Status {
 	p := n.roster.Placement()
-	routes, servers := n.roster.Ages(time.Now())
+	routes, state := n.roster.Ages(time.Now())
 	return Status{
 		Host: n.settings().Host, DataCentre: n.settings().DataCentre, Service: n.settings().Service,
 		Instance: n.instance, Version: n.c.Version, Stopping: n.stopping.Load(),
 		Server: n.admitter.Server(), Load: n.admitter.Sample(),
-		Routing: p.Routing.Version, RoutingAgeMs: routes.Milliseconds(), ServersAgeMs: servers.Milliseconds(),
+		Routing: p.Routing.Version, RoutingAgeMs: routes.Milliseconds(), StateAgeMs: state.Milliseconds(),
 		Servers: len(p.Servers), RegistryCalls: n.store.Calls(),
 		Requests: n.recorder.Snapshot(), Peers: n.peers.Status(),
 	}
@@ -87,7 +87,7 @@
 	line := func(name string, value any) { fmt.Fprintf(w, "Primrosethread%s %v\n", name, value) }
 	line("Routing", s.Routing)
 	line("RoutingAgeMs", s.RoutingAgeMs)
-	line("ServersAgeMs", s.ServersAgeMs)
+	line("StateAgeMs", s.StateAgeMs)
 	line("Servers", s.Servers)
 	line("RegistryCalls", s.RegistryCalls)
 	line("InFlight", s.Load.InFlight)
--- a/placement.go
+++ b/placement.go
@@ -52,6 +52,8 @@
 	Version  uint64
 	Routes   []PathRoute
 	Services []ServiceRule
+	// Revision is that of the registry at which the version was published.
+	Revision uint64
 }
 
 // ServerEntry is what a server has published about itself. It lags; the node
@@ -66,6 +68,19 @@
 	Draining   bool
 	// Born is the start of the server on its own clock; zero if not told.
 	Born time.Time
+	// Revision is that of the registry's last change of the entry.
+	Revision uint64
+}
+
+// Same reports whether two entries tell the same, whatever their revisions.
+func (e *ServerEntry) Same(o *ServerEntry) bool {
+	a, b := *e, *o
+	a.Revision, b.Revision = 0, 0
+	if !a.Born.Equal(b.Born) {
+		return false
+	}
+	a.Born, b.Born = time.Time{}, time.Time{}
+	return a == b
 }
 
 // CentreSwitch is an operator's order to take a data centre out of service or
@@ -86,8 +101,9 @@
 	services map[Service]*ServiceRule
 	servers  map[Service][]*ServerEntry
 	hosts    map[HostName]*ServerEntry
+	near     map[DataCentre][]*ServerEntry
+	ids      map[string]*ServerEntry
 	out      map[DataCentre]bool
-	revision uint64
 }
 
 // NewPlacement indexes checked values. It keeps the slices it is given.
@@ -98,6 +114,8 @@
 		services: make(map[Service]*ServiceRule, len(routing.Services)),
 		servers:  make(map[Service][]*ServerEntry),
 		hosts:    make(map[HostName]*ServerEntry, len(servers)),
+		near:     make(map[DataCentre][]*ServerEntry),
+		ids:      make(map[string]*ServerEntry, len(servers)),
 		out:      make(map[DataCentre]bool),
 	}
 	for i := range routing.Routes {
@@ -111,7 +129,6 @@
 		p.services[routing.Services[i].Name] = &routing.Services[i]
 	}
 	for _, s := range switches {
-		p.revision = max(p.revision, s.Revision)
 		if s.Out {
 			p.out[s.DataCentre] = true
 		}
@@ -122,8 +139,13 @@
 		}
 	}
 	for i := range servers {
-		// Where a server was replaced on its host, the newer entry holds.
-		if e := &servers[i]; p.hosts[e.Host] == e && !e.Draining && !p.out[e.DataCentre] {
+		e := &servers[i]
+		p.ids[e.ID] = e
+		if p.hosts[e.Host] != e {
+			continue // the newer server of the host holds
+		}
+		p.near[e.DataCentre] = append(p.near[e.DataCentre], e)
+		if !e.Draining && !p.out[e.DataCentre] {
 			p.servers[e.Service] = append(p.servers[e.Service], e)
 		}
 	}
@@ -163,5 +185,8 @@
 // Out reports whether operators have taken a data centre out of service.
 func (p *Placement) Out(d DataCentre) bool { return p.out[d] }
 
-// Revision is that of the newest switch of a data centre.
-func (p *Placement) Revision() uint64 { return p.revision }
+// Near returns the entries of the hosts of a data centre, one for each.
+func (p *Placement) Near(d DataCentre) []*ServerEntry { return p.near[d] }
+
+// Entry returns the entry of a server, or nil if there is none.
+func (p *Placement) Entry(id string) *ServerEntry { return p.ids[id] }
--- a/ports.go
+++ b/ports.go
@@ -174,24 +174,30 @@
 // Registry reads what operators and servers publish on a platform that tells
 // its changes. Revisions count the changes of the whole registry.
 type Registry interface {
-	// Operators returns everything that operators have published, as of a
-	// revision. A switch that is absent is not out.
-	Operators(ctx context.Context) (OperatorState, uint64, error)
-	// OperatorChanges waits for changes after a revision. The error is
-	// ErrHistoryGone when they are no longer known.
-	OperatorChanges(ctx context.Context, after uint64, wait time.Duration) (OperatorState, uint64, error)
-	// Servers returns the entries of all servers. A stale list is cheap and
-	// may be seconds old.
-	Servers(ctx context.Context, stale bool) ([]ServerEntry, uint64, error)
-	// Server returns the entry of one server, nil if there is none.
-	Server(ctx context.Context, id string) (*ServerEntry, uint64, error)
-	// ServerChanges waits for changes of one server's entry after a revision.
-	// It reports changed = false if there were none; a nil entry was removed.
-	ServerChanges(ctx context.Context, id string, after uint64, wait time.Duration) (e *ServerEntry, changed bool, at uint64, err error)
-}
-
-// OperatorState is what operators have published or changed.
-type OperatorState struct {
+	// Read returns all that is published, as of a revision. A switch that is
+	// absent is not out, and a server that is absent is not there.
+	Read(ctx context.Context) (Published, uint64, error)
+	// Changes returns what has changed after a revision as soon as there is
+	// something, or nothing after the wait, and the revision to continue from.
+	// The error is ErrHistoryGone when the changes are no longer known.
+	Changes(ctx context.Context, after uint64, wait time.Duration) (Published, uint64, error)
+}
+
+// Published is what a Registry holds, or what has changed in it.
+type Published struct {
 	Routing  *Routing // nil if there is none, or no newer one
 	Switches []CentreSwitch
+	Servers  []ServerEntry
+	Removed  []Removal // among changes only
+}
+
+// Empty reports whether nothing is published or nothing has changed.
+func (p *Published) Empty() bool {
+	return p.Routing == nil && len(p.Switches) == 0 && len(p.Servers) == 0 && len(p.Removed) == 0
+}
+
+// Removal tells that a server's entry is gone.
+type Removal struct {
+	ID       string
+	Revision uint64
 }
--- a/request.go
+++ b/request.go
@@ -126,10 +126,13 @@
 	// holds them back.
 	Cold     bool `cbor:"9,keyasint,omitempty"`
 	ColdRoom int  `cbor:"10,keyasint,omitempty"`
-	// Routing is the version of the routes that the owner has.
-	Routing uint64 `cbor:"12,keyasint,omitempty"`
-	// Switches is the revision of the newest switch of a data centre there.
-	Switches uint64 `cbor:"13,keyasint,omitempty"`
+	// Revision is that of the newest published change that the owner's node
+	// knows, and Age the time since it was last known that there is none newer;
+	// 0 if never.
+	Revision uint64        `cbor:"12,keyasint,omitempty"`
+	Age      time.Duration `cbor:"13,keyasint,omitempty"`
+	// Reading is set while that node follows the registry itself.
+	Reading bool `cbor:"15,keyasint,omitempty"`
 }
 
 // Attempt is the end of one attempt, as observed by whoever made it.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,26 +16,35 @@
 
 // Config configures a Roster.
 type Config struct {
-	// DataCentre is that of this node.
+	// Host and DataCentre are those of this node.
+	Host       prim.HostName
 	DataCentre prim.DataCentre
 	Logger     *slog.Logger
 }
 
 // Roster implements prim.Placements.
 type Roster struct {
-	log    *slog.Logger
-	centre prim.DataCentre
-	doubts chan struct{} // a reader of the registry has failed
+	c   Config
+	log *slog.Logger
 
 	mu       sync.RWMutex
-	read     chan struct{} // closed when the operators' reader has succeeded
 	now      *prim.Placement
 	changed  chan struct{}
 	routing  prim.Routing
 	switches map[prim.DataCentre]prim.CentreSwitch
-	servers  []prim.ServerEntry
-	routedAt time.Time
-	listedAt time.Time // when the list of servers was last confirmed
+	servers  map[string]prim.ServerEntry // by id
+	// removals are the servers removed after removalsFrom, oldest first.
+	removals     []prim.Removal
+	removalsFrom uint64
+	// revision is that of the newest change: the state is complete up to it.
+	revision  uint64
+	routedAt  time.Time
+	confirmed time.Time // when the state was last known to be current
+	keepUntil time.Time // entries that go missing are kept until then
+	missed    []missed  // removed of late
+	reading   bool      // this node follows the registry
+	heard     map[prim.HostName]hearing
+	ranking   ranking
 }
 
 var _ prim.Placements = (*Roster)(nil)
@@ -45,8 +55,10 @@
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
 	return &Roster{
-		log: c.Logger, centre: c.DataCentre, read: make(chan struct{}), changed: make(chan struct{}), doubts: make(chan struct{}, 1),
+		c: c, log: c.Logger, changed: make(chan struct{}),
 		switches: make(map[prim.DataCentre]prim.CentreSwitch),
+		servers:  make(map[string]prim.ServerEntry),
+		heard:    make(map[prim.HostName]hearing),
 		now:      prim.NewPlacement(prim.Routing{}, nil, nil),
 	}
 }
@@ -65,12 +77,40 @@
 	return r.changed
 }
 
-// rebuild indexes the newest values. The caller holds r.mu.
-func (r *Roster) rebuild() {
+// Revision returns the revision of the newest change that is known.
+func (r *Roster) Revision() uint64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.revision
+}
+
+// Ages returns how long ago the routes were received and the state was last known
+// to be current; zero if never.
+func (r *Roster) Ages(now time.Time) (routes, state time.Duration) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if !r.routedAt.IsZero() {
+		routes = now.Sub(r.routedAt)
+	}
+	if !r.confirmed.IsZero() {
+		state = now.Sub(r.confirmed)
+	}
+	return routes, state
+}
+
+// rebuild indexes the newest values after a change at a revision. The caller
+// holds r.mu.
+func (r *Roster) rebuild(revision uint64, source string) {
+	r.log.Info("published state changed", "Revision", revision, "Before", r.revision, "Routes", r.routing.Version,
+		"Servers", len(r.servers), "ServersBefore", len(r.now.Servers), "Source", source)
+	r.revision = max(r.revision, revision)
 	switches := slices.SortedFunc(maps.Values(r.switches), func(a, b prim.CentreSwitch) int {
 		return int(a.Revision) - int(b.Revision)
 	})
-	r.now = prim.NewPlacement(r.routing, switches, r.servers)
+	servers := slices.SortedFunc(maps.Values(r.servers), func(a, b prim.ServerEntry) int {
+		return strings.Compare(a.ID, b.ID)
+	})
+	r.now = prim.NewPlacement(r.routing, switches, servers)
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
@@ -80,12 +120,19 @@
 func (r *Roster) SetRouting(v prim.Routing, source string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.setRouting(v, source) {
+		return false
+	}
+	r.rebuild(v.Revision, source)
+	return true
+}
+
+func (r *Roster) setRouting(v prim.Routing, source string) bool {
 	if v.Version <= r.routing.Version {
 		return false
 	}
-	r.log.Info("routes changed", "Version", v.Version, "Before", r.routing.Version, "Routes", len(v.Routes), "Source", source)
+	r.log.Info("routes changed", "Version", v.Version, "Before", r.routing.Version, "Routes", len(v.Routes), "Revision", v.Revision, "Source", source)
 	r.routing, r.routedAt = v, time.Now()
-	r.rebuild()
 	return true
 }
 
@@ -94,6 +141,14 @@
 func (r *Roster) SetSwitch(s prim.CentreSwitch, source string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.setSwitch(s, source) {
+		return false
+	}
+	r.rebuild(s.Revision, source)
+	return true
+}
+
+func (r *Roster) setSwitch(s prim.CentreSwitch, source string) bool {
 	old, known := r.switches[s.DataCentre]
 	if known && s.Revision <= old.Revision {
 		return false
@@ -102,33 +157,49 @@
 	if old.Out != s.Out {
 		r.log.Info("data centre switched", "DataCentre", s.DataCentre, "Out", s.Out, "Revision", s.Revision, "Source", source)
 	}
-	r.rebuild()
 	return true
 }
 
-// SetServers replaces the list of servers.
-func (r *Roster) SetServers(list []prim.ServerEntry) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.listedAt = time.Now()
-	if slices.Equal(r.servers, list) {
-		return
+// setServer takes a server's entry. It reports false if it tells nothing new.
+func (r *Roster) setServer(e prim.ServerEntry, source string) bool {
+	old, known := r.servers[e.ID]
+	if known && e.Revision <= old.Revision || r.removedAt(e.ID) >= e.Revision {
+		return false
+	}
+	r.servers[e.ID] = e
+	if known && old.Same(&e) {
+		return false
 	}
-	r.log.Info("servers changed", "Servers", len(list), "Before", len(r.servers))
-	r.servers = list
-	r.rebuild()
+	r.log.Debug("server listed", "Server", e.ID, "Service", e.Service, "Target", e.Host, "Draining", e.Draining, "Revision", e.Revision, "Source", source)
+	return true
 }
 
-// Ages returns how long ago the routes were received and the list of servers was
-// confirmed; zero if never.
-func (r *Roster) Ages(now time.Time) (routes, servers time.Duration) {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	if !r.routedAt.IsZero() {
-		routes = now.Sub(r.routedAt)
+// maxRemovals bounds the removals that are kept.
+const maxRemovals = 1024
+
+// removeServer takes the removal of a server's entry. It reports false if that
+// tells nothing new. A server that was not known here may be known elsewhere.
+func (r *Roster) removeServer(m prim.Removal, source string) bool {
+	old, known := r.servers[m.ID]
+	if known && old.Revision >= m.Revision || r.removedAt(m.ID) >= m.Revision {
+		return false
 	}
-	if !r.listedAt.IsZero() {
-		servers = now.Sub(r.listedAt)
+	delete(r.servers, m.ID)
+	r.removals = append(r.removals, m)
+	if n := len(r.removals) - maxRemovals; n > 0 {
+		r.removalsFrom = r.removals[n-1].Revision
+		r.removals = slices.Delete(r.removals, 0, n)
+	}
+	r.log.Debug("server removed", "Server", m.ID, "Service", old.Service, "Target", old.Host, "Revision", m.Revision, "Source", source)
+	return true
+}
+
+// removedAt returns the revision of a server's removal, 0 if none is known.
+func (r *Roster) removedAt(id string) uint64 {
+	for _, m := range slices.Backward(r.removals) {
+		if m.ID == id {
+			return m.Revision
+		}
 	}
-	return routes, servers
+	return 0
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,16 +16,21 @@
 	prim "github.com/primrosethread/primrosethread"
 )
 
-// registry is a fake with one route version, one server and faults.
+// registry is a fake with faults. Its history is never dropped by itself.
 type registry struct {
 	mu      sync.Mutex
 	rev     uint64
-	version uint64
-	changed uint64 // revision of the version
-	server  *prim.ServerEntry
-	entryAt uint64 // revision of the server's last change
+	routing prim.Routing
+	entries map[string]prim.ServerEntry
+	removed []prim.Removal
+	from    uint64 // the history goes back to it
 	err     error
-	deaf    bool // operators' watches hear nothing
+	deaf    bool // watches that wait hear nothing
+	calls   int
+}
+
+func newRegistry() *registry {
+	return &registry{rev: 1, from: 1, routing: prim.Routing{Version: 1, Revision: 1}, entries: make(map[string]prim.ServerEntry)}
 }
 
 func (g *registry) set(f func()) {
@@ -33,61 +40,96 @@
 	f()
 }
 
-func (g *registry) Operators(context.Context) (prim.OperatorState, uint64, error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return prim.OperatorState{Routing: &prim.Routing{Version: g.version}}, g.rev, g.err
+func (g *registry) route(version uint64) {
+	g.set(func() { g.routing = prim.Routing{Version: version, Revision: g.rev} })
 }
 
-// wait polls until ready or the wait is over; it reports whether it was ready.
-func (g *registry) wait(ctx context.Context, d time.Duration, ready func() bool) bool {
-	for end := time.Now().Add(d); ctx.Err() == nil && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		g.mu.Lock()
-		ok := ready() || g.err != nil
-		g.mu.Unlock()
-		if ok {
-			return true
-		}
-	}
-	return false
+func (g *registry) put(id string, draining bool) {
+	g.set(func() {
+		g.entries[id] = prim.ServerEntry{ID: id, Service: "s", Host: prim.HostName("host-" + id), DataCentre: "a", Draining: draining, Revision: g.rev}
+	})
+}
+
+func (g *registry) drop(id string) {
+	g.set(func() {
+		delete(g.entries, id)
+		g.removed = append(g.removed, prim.Removal{ID: id, Revision: g.rev})
+	})
 }
 
-func (g *registry) OperatorChanges(ctx context.Context, after uint64, d time.Duration) (prim.OperatorState, uint64, error) {
-	g.wait(ctx, d, func() bool { return !g.deaf && g.changed > after })
+// count returns the number of calls so far.
+func (g *registry) count() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if ctx.Err() != nil {
-		return prim.OperatorState{}, 0, ctx.Err()
+	return g.calls
+}
+
+func (g *registry) fail(err error) { g.set(func() { g.err = err }) }
+
+// since returns what has changed after a revision. The caller holds g.mu.
+func (g *registry) since(after uint64) (s prim.Published) {
+	if g.routing.Revision > after {
+		v := g.routing
+		s.Routing = &v
 	}
-	if g.changed > after {
-		return prim.OperatorState{Routing: &prim.Routing{Version: g.version}}, g.rev, g.err
+	for _, e := range g.entries {
+		if e.Revision > after {
+			s.Servers = append(s.Servers, e)
+		}
+	}
+	for _, m := range g.removed {
+		if _, back := g.entries[m.ID]; m.Revision > after && !back {
+			s.Removed = append(s.Removed, m)
+		}
 	}
-	return prim.OperatorState{}, after, g.err
+	return s
 }
 
-func (g *registry) Servers(context.Context, bool) ([]prim.ServerEntry, uint64, error) {
+func (g *registry) Read(context.Context) (prim.Published, uint64, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.server == nil {
-		return nil, g.rev, g.err
-	}
-	return []prim.ServerEntry{*g.server}, g.rev, g.err
+	g.calls++
+	s := g.since(0)
+	s.Removed = nil
+	return s, g.rev, g.err
 }
 
-func (g *registry) Server(context.Context, string) (*prim.ServerEntry, uint64, error) {
+func (g *registry) Changes(ctx context.Context, after uint64, d time.Duration) (prim.Published, uint64, error) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.server, g.rev, g.err
+	g.calls++
+	g.mu.Unlock()
+	deadline := time.Now().Add(d)
+	for first := true; ; first = false {
+		g.mu.Lock()
+		s, at, err, gone, deaf := g.since(after), g.rev, g.err, after < g.from, g.deaf && !first
+		g.mu.Unlock()
+		switch {
+		case ctx.Err() != nil:
+			return prim.Published{}, 0, ctx.Err()
+		case err != nil:
+			return prim.Published{}, 0, err
+		case deaf && time.Now().Before(deadline):
+		case gone:
+			return prim.Published{}, 0, prim.ErrHistoryGone
+		case !s.Empty(), !time.Now().Before(deadline):
+			return s, at, nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
 }
 
-func (g *registry) ServerChanges(ctx context.Context, _ string, after uint64, d time.Duration) (*prim.ServerEntry, bool, uint64, error) {
-	g.wait(ctx, d, func() bool { return g.entryAt > after })
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if ctx.Err() != nil {
-		return nil, false, 0, ctx.Err()
+// republished is how long entries are kept after an outage in these tests.
+const republished = 2 * time.Second
+
+// alone starts a roster that hears from no other node.
+func alone(t *testing.T, g *registry) (r *Roster, stop func()) {
+	r = New(Config{Host: "host-i-1", DataCentre: "a"})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := r.Follow(ctx, g, republished)
+	return r, func() {
+		cancel()
+		<-ended
 	}
-	return g.server, g.entryAt > after, g.rev, g.err
 }
 
 // Guards against versions that go back, whatever order sources offer them in.
@@ -114,104 +156,270 @@
 }
 
 // Guards against a node that goes on with old routes because its watch hears
-// nothing: another reader's failure makes it read everything again, and without
-// one the watch is short.
+// nothing, with and without history.
 func TestSilentWatch(t *testing.T) {
-	for name, fails := range map[string]bool{"other reader fails": true, "nothing fails": false} {
+	for name, compacted := range map[string]bool{"history is gone": true, "history is there": false} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				r := New(Config{})
-				g := &registry{rev: 1, version: 1, changed: 1}
-				ctx, cancel := context.WithCancel(t.Context())
-				ended := r.Follow(ctx, g, time.Second)
+				g := newRegistry()
+				g.put("i-1", false)
+				r, stop := alone(t, g)
+				defer stop()
 				time.Sleep(3 * time.Second)
-				// Several changes, since a random watch may end at the right moment.
+				g.mu.Lock()
+				g.deaf = true
+				g.mu.Unlock()
+				// Several changes, since a watch may end at the right moment.
 				for version := uint64(2); version < 10; version++ {
-					g.set(func() { g.version, g.changed, g.deaf = version, g.rev, true })
-					limit := minWatch
-					if fails {
-						r.doubt()
-						limit = 2 * doubtGap
+					g.route(version)
+					if compacted {
+						g.set(func() { g.from = g.rev })
 					}
-					time.Sleep(limit)
+					time.Sleep(checkAfter + checkSpread + 2*dutyEvery)
 					is.Equal(r.Placement().Routing.Version, version)
 				}
-				cancel()
-				<-ended
 			})
 		})
 	}
 }
 
-// Guards against a busy loop and against lost state while the registry is down.
+// Guards against a busy loop and against lost state while the registry is down, and
+// against servers that are given up because their entries lapsed meanwhile.
 func TestOutageKeepsState(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		r := New(Config{})
-		g := &registry{rev: 1, version: 1, changed: 1, server: &prim.ServerEntry{ID: "i-1", Service: "s", Host: "h"}}
-		ctx, cancel := context.WithCancel(t.Context())
-		ended := r.Follow(ctx, g, 2*time.Second)
+		g := newRegistry()
+		g.put("i-1", false)
+		r, stop := alone(t, g)
+		defer stop()
 		time.Sleep(time.Second)
-		g.set(func() { g.err = errors.New("down") })
-		time.Sleep(10 * time.Second)
+		g.fail(errors.New("down"))
+		calls := g.count()
+		time.Sleep(20 * time.Second)
+		is.True(g.count()-calls < 30)
 		is.Equal(r.Placement().Routing.Version, uint64(1))
 		is.Equal(len(r.Placement().Servers), 1)
 		// The entry has lapsed meanwhile and is back after a second.
-		entry := g.server
-		g.set(func() { g.err, g.server = nil, nil })
-		time.Sleep(maxRetry + rejoin)
+		g.drop("i-1")
+		g.fail(nil)
+		time.Sleep(maxRetry)
 		is.Equal(len(r.Placement().Servers), 1)
-		g.set(func() { g.server = entry })
-		time.Sleep(2 * listEvery)
+		g.put("i-1", false)
+		time.Sleep(2 * republished)
 		is.Equal(len(r.Placement().Servers), 1)
-		g.set(func() { g.server = nil })
-		time.Sleep(3 * listEvery)
+		g.drop("i-1")
+		time.Sleep(2 * watchGap)
+		is.Equal(len(r.Placement().Servers), 0)
+		// An entry that is still missing after the outage is gone.
+		g.put("i-1", false)
+		time.Sleep(2 * watchGap)
+		g.fail(errors.New("down"))
+		time.Sleep(5 * time.Second)
+		g.drop("i-1")
+		g.fail(nil)
+		time.Sleep(maxRetry*2 + republished)
 		is.Equal(len(r.Placement().Servers), 0)
-		cancel()
-		<-ended
 	})
 }
 
-// Guards against work for a server whose entry drains or is removed, and against
-// leaving because an entry lapsed during an outage of the registry.
-func TestOwnServer(t *testing.T) {
+// Guards against servers that are all given up by a reader whose watch outlived an
+// outage of the registry, and against keeping them for good.
+func TestLapseAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		r := New(Config{})
-		entry := &prim.ServerEntry{ID: "i-1"}
-		g := &registry{rev: 1, server: entry, entryAt: 1}
-		var mu sync.Mutex
-		leaving := false
-		left := func() bool { mu.Lock(); defer mu.Unlock(); return leaving }
-		ctx, cancel := context.WithCancel(t.Context())
-		ended := make(chan struct{})
-		go func() {
-			defer close(ended)
-			r.FollowServer(ctx, g, "i-1", 2*time.Second, func(on bool) { mu.Lock(); leaving = on; mu.Unlock() })
-		}()
-		write := func(e *prim.ServerEntry) { g.set(func() { g.server, g.entryAt = e, g.rev }) }
-		time.Sleep(time.Second)
-		is.True(!left())
-		write(&prim.ServerEntry{ID: "i-1", Draining: true})
-		time.Sleep(time.Second)
-		is.True(left())
-		write(entry)
+		g := newRegistry()
+		for i := range 8 {
+			g.put(fmt.Sprint("i-", i), false)
+		}
+		r, stop := alone(t, g)
+		defer stop()
 		time.Sleep(time.Second)
-		is.True(!left())
-		// An outage during which the entry lapses; it is back in time.
-		g.set(func() { g.err = errors.New("down") })
-		time.Sleep(5 * time.Second)
-		g.set(func() { g.err, g.server, g.entryAt = nil, nil, g.rev })
-		time.Sleep(maxRetry)
-		is.True(!left())
-		write(entry)
-		time.Sleep(3 * time.Second)
-		is.True(!left())
-		write(nil)
+		for i := range 8 {
+			g.drop(fmt.Sprint("i-", i))
+		}
 		time.Sleep(time.Second)
-		is.True(left())
+		is.Equal(len(r.Placement().Servers), 8)
+		for i := range 6 {
+			g.put(fmt.Sprint("i-", i), false)
+		}
+		time.Sleep(2 * republished)
+		is.Equal(len(r.Placement().Servers), 6)
+		// One or two that go are gone.
+		g.drop("i-1")
+		g.drop("i-2")
+		time.Sleep(2 * watchGap)
+		is.Equal(len(r.Placement().Servers), 4)
+	})
+}
+
+// Guards against entries that a node keeps or loses when it takes the state of
+// others: whatever the order of changes, reads and questions between nodes, a node
+// that has asked one with a higher revision has the same state as the registry had.
+func TestStatesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newRegistry()
+		rosters := make([]*Roster, 4)
+		at := make([]uint64, len(rosters)) // of the watches; 0 before a read
+		for i := range rosters {
+			rosters[i] = New(Config{DataCentre: "a"})
+		}
+		now := epoch
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Second)
+			i := rapid.IntRange(0, len(rosters)-1).Draw(t, "node")
+			r := rosters[i]
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				g.put(fmt.Sprint("i-", rapid.IntRange(0, 9).Draw(t, "id")), rapid.Bool().Draw(t, "draining"))
+			case 1:
+				g.drop(fmt.Sprint("i-", rapid.IntRange(0, 9).Draw(t, "id")))
+			case 2:
+				g.route(g.routing.Version + 1)
+			case 3:
+				s, seen, _ := g.Read(nil)
+				r.readAll(now, s, seen)
+				at[i] = seen
+			case 4:
+				if at[i] > 0 {
+					r.readChanges(now, g.since(at[i]))
+					at[i] = g.rev
+				}
+			case 5:
+				o := rosters[rapid.IntRange(0, len(rosters)-1).Draw(t, "other")]
+				q := question{r.revision, r.routing.Version}
+				r.adopt(q, o.since(q), "test")
+			}
+		}
+		// The first reads all, the others ask it.
+		s, seen, _ := g.Read(nil)
+		rosters[0].readAll(now, s, seen)
+		for _, r := range rosters[1:] {
+			q := question{r.revision, r.routing.Version}
+			r.adopt(q, rosters[0].since(q), "test")
+		}
+		for i, r := range rosters {
+			if r.revision < rosters[0].revision {
+				t.Fatalf("node %d is at revision %d of %d", i, r.revision, rosters[0].revision)
+			}
+			if r.routing.Version != g.routing.Version || len(r.servers) != len(g.entries) {
+				t.Fatalf("node %d has version %d and %d servers; published are %d and %d", i, r.routing.Version, len(r.servers), g.routing.Version, len(g.entries))
+			}
+			for id, e := range g.entries {
+				if v := r.servers[id]; !v.Same(&e) {
+					t.Fatalf("node %d has %v of server %s; published is %v", i, v, id, e)
+				}
+			}
+		}
+	})
+}
+
+var epoch = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+// group starts rosters that hear from each other, as samples would carry it. A
+// silenced one is not heard.
+func group(t *testing.T, g *registry, n int) (rosters []*Roster, silenced []atomic.Bool) {
+	ctx, cancel := context.WithCancel(t.Context())
+	silenced = make([]atomic.Bool, n)
+	var ended []<-chan error
+	for i := range n {
+		id := fmt.Sprint("i-", i)
+		g.put(id, false)
+		r := New(Config{Host: prim.HostName("host-" + id), DataCentre: "a"})
+		rosters = append(rosters, r)
+		ended = append(ended, r.Follow(ctx, g, republished))
+	}
+	spread := make(chan struct{})
+	go func(ctx context.Context) {
+		defer close(spread)
+		for ctx.Err() == nil {
+			now := time.Now()
+			for i, from := range rosters {
+				s := from.Stamp(now, prim.Sample{})
+				for j, to := range rosters {
+					if i == j || silenced[i].Load() || silenced[j].Load() {
+						continue
+					}
+					if to.Heard(now, from.c.Host, s) {
+						q := question{to.Revision(), to.Placement().Routing.Version}
+						to.adopt(q, from.since(q), "test")
+					}
+				}
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+	}(ctx)
+	t.Cleanup(func() {
 		cancel()
-		<-ended
+		<-spread
+		for _, e := range ended {
+			<-e
+		}
+	})
+	return rosters, silenced
+}
+
+func reading(rosters []*Roster) (n int) {
+	for _, r := range rosters {
+		if r.Stamp(time.Now(), prim.Sample{}).Reading {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against every node following the registry, and against changes that the
+// others miss when all readers are gone at once.
+func TestFewRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRegistry()
+		rosters, silenced := group(t, g, 20)
+		time.Sleep(10 * time.Second)
+		is.Equal(reading(rosters), readers(20))
+		calls := g.count()
+		time.Sleep(60 * time.Second)
+		is.True(g.count()-calls < 60) // about one a second, whatever the number of nodes
+		for version := uint64(2); version < 5; version++ {
+			gone := 0
+			for i, r := range rosters {
+				if r.Stamp(time.Now(), prim.Sample{}).Reading {
+					silenced[i].Store(true)
+					gone++
+				}
+			}
+			is.True(gone > 0)
+			g.route(version)
+			time.Sleep(hearFor + 3*dutyEvery + 200*time.Millisecond)
+			for _, r := range rosters {
+				is.Equal(r.Placement().Routing.Version, version)
+			}
+			for i := range silenced {
+				silenced[i].Store(false)
+			}
+			time.Sleep(5 * time.Second)
+			is.Equal(reading(rosters), readers(20))
+		}
+	})
+}
+
+// Guards against a fleet that calls a registry which is down as often as it has
+// nodes, and against nodes that notice its return late.
+func TestOutageIsTriedByFew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRegistry()
+		rosters, _ := group(t, g, 20)
+		time.Sleep(10 * time.Second)
+		g.fail(errors.New("down"))
+		calls := g.count()
+		time.Sleep(10 * time.Second)
+		is.True(g.count()-calls < 120) // 20 nodes that try every 1.6 s at most make 200 and more
+		g.fail(nil)
+		g.route(2)
+		time.Sleep(2 * maxRetry)
+		for _, r := range rosters {
+			is.Equal(r.Placement().Routing.Version, uint64(2))
+		}
 	})
 }
--- a/roster/share.go
+++ b/roster/share.go
@@ -3,18 +3,19 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	prim "github.com/primrosethread/primrosethread"
 )
 
-// A node that the platform turns away, or that started while the platform is
-// down, takes what others know. Load samples tell the versions that their sender
-// has; whoever is behind asks for the whole. Nothing is sent unasked, so a change
-// that every node reads from the platform costs nothing here.
+// Few nodes of a data centre follow the registry. Load samples tell the revision
+// that their sender has; whoever is behind asks it for what has changed since its
+// own.
 
-// KindState asks a node for what it has of the published state.
+// KindState asks a node for what is newer than the asker's state.
 const KindState prim.Kind = "State"
 
 // encoding keeps the fractions of seconds, by which the entries of one host are
@@ -27,30 +28,65 @@
 	return m
 }()
 
+// question is the body of KindState.
+type question struct {
+	Revision uint64 `cbor:"1,keyasint"`
+	Routing  uint64 `cbor:"2,keyasint"` // version of the asker's routes
+}
+
 // state is the body of the answer.
 type state struct {
-	Routing  prim.Routing        `cbor:"1,keyasint"`
-	Switches []prim.CentreSwitch `cbor:"2,keyasint"`
-	Servers  []prim.ServerEntry  `cbor:"3,keyasint"`
+	Revision uint64              `cbor:"1,keyasint"`
+	Whole    bool                `cbor:"2,keyasint"` // Servers lists all of them
+	Routing  *prim.Routing       `cbor:"3,keyasint"` // nil if the asker has it
+	Switches []prim.CentreSwitch `cbor:"4,keyasint"`
+	Servers  []prim.ServerEntry  `cbor:"5,keyasint"`
+	Removed  []prim.Removal      `cbor:"6,keyasint"`
 }
 
 // Handle answers KindState.
-func (r *Roster) Handle(context.Context, prim.HostName, prim.Message) (prim.Message, error) {
-	p := r.Placement()
-	b, err := encoding.Marshal(state{p.Routing, p.Switches, p.Servers})
+func (r *Roster) Handle(_ context.Context, _ prim.HostName, m prim.Message) (prim.Message, error) {
+	var q question
+	if err := cbor.Unmarshal(m.Body, &q); err != nil {
+		return prim.Message{}, fmt.Errorf("question for the state: %w; check that both nodes run compatible versions", err)
+	}
+	b, err := encoding.Marshal(r.since(q))
 	return prim.Message{Kind: KindState, Body: b}, err
 }
 
-// Behind reports whether the sender of a sample has something newer.
-func (r *Roster) Behind(s prim.Sample) bool {
-	p := r.Placement()
-	return s.Routing > p.Routing.Version || s.Switches > p.Revision()
+// since returns what is newer than a question's state.
+func (r *Roster) since(q question) state {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	s := state{Revision: r.revision, Whole: q.Revision < r.removalsFrom, Switches: r.now.Switches}
+	if r.routing.Version > q.Routing {
+		s.Routing = &r.routing
+	}
+	for _, e := range r.servers {
+		if s.Whole || e.Revision > q.Revision {
+			s.Servers = append(s.Servers, e)
+		}
+	}
+	if !s.Whole {
+		for _, m := range r.removals {
+			if m.Revision > q.Revision {
+				s.Removed = append(s.Removed, m)
+			}
+		}
+	}
+	return s
 }
 
-// Fetch takes over what is newer at another node. Its list of servers is used
-// only if this node has none, since lists carry no version.
+// Fetch takes over what is newer at another node.
 func (r *Roster) Fetch(ctx context.Context, t prim.Transport, from prim.HostName) error {
-	m, err := t.Ask(ctx, from, prim.Message{Kind: KindState})
+	r.mu.RLock()
+	q := question{Revision: r.revision, Routing: r.routing.Version}
+	r.mu.RUnlock()
+	body, err := encoding.Marshal(q)
+	if err != nil {
+		return err
+	}
+	m, err := t.Ask(ctx, from, prim.Message{Kind: KindState, Body: body})
 	if err != nil {
 		return err
 	}
@@ -58,15 +94,70 @@
 	if err := cbor.Unmarshal(m.Body, &s); err != nil {
 		return fmt.Errorf("state from host %q: %w; check that both nodes run compatible versions", from, err)
 	}
-	source := "node " + string(from)
-	if s.Routing.Version > 0 {
-		r.SetRouting(s.Routing, source)
+	r.adopt(q, s, "node "+string(from))
+	return nil
+}
+
+// adopt takes another node's answer to a question. It is dropped if this node's
+// state has moved meanwhile: the answer may lack what lies between.
+func (r *Roster) adopt(q question, s state, source string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s.Revision <= r.revision || q.Revision != r.revision {
+		return
+	}
+	if s.Routing != nil {
+		r.setRouting(*s.Routing, source)
 	}
 	for _, c := range s.Switches {
-		r.SetSwitch(c, source)
+		r.setSwitch(c, source)
 	}
-	if len(r.Placement().Servers) == 0 && len(s.Servers) > 0 {
-		r.SetServers(s.Servers)
+	for _, m := range s.Removed {
+		r.removeServer(m, source)
+	}
+	for _, e := range s.Servers {
+		r.setServer(e, source)
+	}
+	if s.Whole {
+		for id := range r.servers {
+			if !slices.ContainsFunc(s.Servers, func(e prim.ServerEntry) bool { return e.ID == id }) {
+				r.removeServer(prim.Removal{ID: id, Revision: s.Revision}, source)
+			}
+		}
+		r.removals, r.removalsFrom = nil, s.Revision
+	}
+	r.rebuild(s.Revision, source)
+}
+
+// Stamp adds to a sample what this node knows.
+func (r *Roster) Stamp(now time.Time, s prim.Sample) prim.Sample {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	s.Revision, s.Reading = r.revision, r.reading
+	if !r.confirmed.IsZero() {
+		s.Age = max(1, now.Sub(r.confirmed))
+	}
+	return s
+}
+
+// Heard takes what another node's sample tells of its state. It reports whether
+// that is newer.
+func (r *Roster) Heard(now time.Time, h prim.HostName, s prim.Sample) (behind bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.heard[h] = hearing{now, s.Reading}
+	if s.Revision == r.revision && r.revision > 0 && s.Age > 0 {
+		r.confirm(now.Add(-s.Age))
+	}
+	return s.Revision > r.revision
+}
+
+// Behind reports whether the sender of a sample has something newer.
+func (r *Roster) Behind(s prim.Sample) bool { return s.Revision > r.Revision() }
+
+// confirm notes that the state was current at a time. The caller holds r.mu.
+func (r *Roster) confirm(at time.Time) {
+	if at.After(r.confirmed) {
+		r.confirmed = at
 	}
-	return nil
 }
