relay: a bounded, even part of a large service's servers for each node

Cause: docs/CAPACITY.md carried the node's processor time to 125% of its share at 9,100 hosts, since a node linked to every host of its data centre and pushed samples to every one.

Ruled out: a random part (rendezvous hash), which gives some servers half as many users as others.

Change: of each service 16 near and 16 far servers, a run of their hash order that begins at the node's own place among the hosts; links only to those of services used within a minute and to the readers of the registry.

A property test shows each server used by 16 or 17 nodes at 1 to 300 hosts.

--- a/mesh/loops.go
+++ b/mesh/loops.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	prim "github.com/primrosethread/primrosethread"
@@ -156,15 +157,14 @@
 	fetchTimeout = time.Second
 )
 
-// tend keeps links to the servers of this data centre, closes silent ones, and
-// asks others for what is published while this node knows nothing.
+// tend keeps links to the servers of this data centre that this node uses and to the
+// readers of the registry, closes silent ones, and asks others for what is published
+// while this node knows nothing.
 func (n *Node) tend(ctx context.Context) <-chan error {
 	return loop(ctx, func(ctx context.Context) {
-		p := n.roster.Placement()
-		for i := range p.Servers {
-			e := &p.Servers[i]
-			if e.Host != n.settings().Host && e.DataCentre == n.settings().DataCentre && !e.Draining {
-				n.peers.Connect(e.Host)
+		for _, h := range slices.Concat(n.relay.Near(), n.roster.Readers()) {
+			if h != n.settings().Host {
+				n.peers.Connect(h)
 			}
 		}
 		n.peers.Check(quiet, silent)
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -84,7 +84,7 @@
 	p := k.r.c.Placements.Placement()
 	lowest := tooLate
 	first := math.Inf(1)
-	for _, e := range p.InService(k.request.Service) {
+	for e := range k.r.subset(p, k.request.Service).all() {
 		if slices.Contains(k.ran, e.Host) {
 			continue
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -51,6 +51,7 @@
 	hosts    map[prim.HostName]*host
 	services map[prim.Service]*budget.Budget
 	classes  map[prim.Class]*class
+	subsets  map[prim.Service]*subset
 }
 
 var _ prim.Caller = (*Relay)(nil)
@@ -65,6 +66,7 @@
 		hosts:    make(map[prim.HostName]*host),
 		services: make(map[prim.Service]*budget.Budget),
 		classes:  make(map[prim.Class]*class),
+		subsets:  make(map[prim.Service]*subset),
 	}
 }
 
