roster: a late watch does not bring removed servers back; stricter tests

Cause: the property test of the exchange, now with answers that arrive late, showed a server listed again for good: a watch's answer from before a whole state that another node had sent. Removals from before a whole state are not kept, so an entry that is unknown and not newer than that state is now left out of changes. The check that the state had not moved between question and answer was not needed and is gone.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -161,12 +161,21 @@
 			return nil, &prim.Refusal{Reason: prim.ReasonLeaving, Sample: prim.Sample{Host: h, Leaving: true, Limit: 8}}
 		}
 	}
+	answer := f.owners["far-1"].run
+	reoffered := 0 // owners have to know that the request came to another one before
+	f.owners["far-1"].run = func(ctx context.Context, q *prim.Request) (*prim.Answer, error) {
+		if q.Reoffered {
+			reoffered++
+		}
+		return answer(ctx, q)
+	}
 	for range 5 {
 		a, err := r.Do(context.Background(), request(false))
 		is.NoErr(err)
 		is.Equal(a.Status, 200)
 	}
 	is.Equal(f.ran("near-1"), 1) // the sample of the refusal is believed
+	is.Equal(reoffered, 1)
 }
 
 // Guards against bytes between data centres while a near server would answer in
--- a/relay/subset_test.go
+++ b/relay/subset_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -76,3 +77,21 @@
 	is.Equal(len(r.Near()), len(u.near))
 	is.True(len(u.near) <= nearServers+1)
 }
+
+// Guards against a node that leaves out the server beside it, which needs no link,
+// where the hosts of another service shift the runs.
+func TestOwnServerIsUsed(t *testing.T) {
+	is := is.New(t)
+	list := service(60).Servers
+	for i := range 40 {
+		id := fmt.Sprintf("o-%d", i)
+		list = append(list, prim.ServerEntry{ID: id, Service: "other", Host: prim.HostName("host-" + id), DataCentre: "a"})
+	}
+	p := prim.NewPlacement(prim.Routing{}, nil, list)
+	for _, e := range p.Near("a") {
+		r := New(Config{Host: e.Host, DataCentre: "a", Placements: fixed{p}})
+		near := r.subset(p, "s").near
+		own := slices.ContainsFunc(near, func(o *prim.ServerEntry) bool { return o.Host == e.Host })
+		is.Equal(own, e.Service == "s")
+	}
+}
--- a/roster/apply.go
+++ b/roster/apply.go
@@ -32,7 +32,7 @@
 func (r *Roster) readAll(now time.Time, s prim.Published, at uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.take(s)
+	r.take(s, 0)
 	listed := make(map[string]bool, len(s.Servers))
 	for _, e := range s.Servers {
 		listed[e.ID] = true
@@ -75,7 +75,8 @@
 func (r *Roster) readChanges(now time.Time, s prim.Published) (away bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	changed, revision := r.take(s)
+	// Changes may be older than a whole state that came from another node.
+	changed, revision := r.take(s, r.removalsFrom)
 	if now.Before(r.keepUntil) {
 		s.Removed = nil // a whole read follows
 	}
@@ -99,8 +100,9 @@
 	return n >= lapseLeast && float64(n) > lapseShare*float64(n+len(r.servers))
 }
 
-// take takes what is new of routes, switches and entries.
-func (r *Roster) take(s prim.Published) (changed bool, revision uint64) {
+// take takes what is new of routes, switches and entries. An unknown server whose entry
+// is not newer than the last whole state was removed before that.
+func (r *Roster) take(s prim.Published, whole uint64) (changed bool, revision uint64) {
 	note := func(is bool, at uint64) {
 		if is {
 			changed, revision = true, max(revision, at)
@@ -113,6 +115,9 @@
 		note(r.setSwitch(c, registrySource), c.Revision)
 	}
 	for _, e := range s.Servers {
+		if _, known := r.servers[e.ID]; !known && e.Revision <= whole {
+			continue
+		}
 		note(r.setServer(e, registrySource), e.Revision)
 	}
 	return changed, revision
--- a/roster/share.go
+++ b/roster/share.go
@@ -94,16 +94,16 @@
 	if err := cbor.Unmarshal(m.Body, &s); err != nil {
 		return fmt.Errorf("state from host %q: %w; check that both nodes run compatible versions", from, err)
 	}
-	r.adopt(q, s, "node "+string(from))
+	r.adopt(s, "node "+string(from))
 	return nil
 }
 
-// adopt takes another node's answer to a question. It is dropped if this node's
-// state has moved meanwhile: the answer may lack what lies between.
-func (r *Roster) adopt(q question, s state, source string) {
+// adopt takes another node's answer to a question. This node's state may have moved
+// meanwhile: what it has by then is not lost, since each value has its revision.
+func (r *Roster) adopt(s state, source string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if s.Revision <= r.revision || q.Revision != r.revision {
+	if s.Revision <= r.revision {
 		return
 	}
 	if s.Routing != nil {
--- a/wire/frame_test.go
+++ b/wire/frame_test.go
@@ -21,6 +21,7 @@
 		Service: "bookings", Customer: "c", Class: "Deposit", Method: "POST", Path: "/deposits?x=1",
 		Header: http.Header{"Accept": {"a", "b"}}, Body: []byte("body"), Key: "k",
 		KeyCreated: time.UnixMilli(1_700_000_000_123), Internal: true, Deadline: now.Add(time.Second),
+		Patience: time.Millisecond, Reoffered: true,
 	}
 	h := wire.RequestHeader(wire.Dispatch, r, now)
 	b, err := wire.Append(nil, &h, r.Body)
