roster, slots: shorter functions, a file for slowdowns

Cause: follow had grown to sixty lines, gate.go to 470; two methods of different types shared the name readAll; the watch's goroutine read a field that the loop writes. Change: follow is split into the watch and the looks at it, the parts of gate.go about slowdowns are in pace.go, Roster applies what a reader reads. No behaviour changes; tests of roster, slots and mesh pass, roster under -race.

--- a/roster/apply.go
+++ b/roster/apply.go
@@ -28,8 +28,8 @@
 	at    time.Time
 }
 
-// readAll takes a whole state of the registry as of a revision.
-func (r *Roster) readAll(now time.Time, s prim.Published, at uint64) {
+// applyAll takes a whole state of the registry as of a revision.
+func (r *Roster) applyAll(now time.Time, s prim.Published, at uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.take(s, 0)
@@ -70,9 +70,9 @@
 	r.rebuild(at, registrySource)
 }
 
-// readChanges takes changes of the registry. It reports whether so much was
+// applyChanges takes changes of the registry. It reports whether so much was
 // removed at once that the registry must have been away.
-func (r *Roster) readChanges(now time.Time, s prim.Published) (away bool) {
+func (r *Roster) applyChanges(now time.Time, s prim.Published) (away bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	// Changes may be older than a whole state that came from another node.
--- a/roster/follow.go
+++ b/roster/follow.go
@@ -133,7 +133,7 @@
 		d.lostAt, d.retry = time.Time{}, 0
 	}
 	d.at, d.answered = at, begin
-	d.r.readAll(begin, s, at)
+	d.r.applyAll(begin, s, at)
 	d.r.confirmedAt(begin)
 	return nil
 }
@@ -145,6 +145,34 @@
 	err error
 }
 
+// watch is one watch in progress.
+type watch struct {
+	began time.Time
+	limit time.Duration // the age of the state after which to ask for news
+	ended chan answer
+	end   func() // ends the watch and waits for that
+}
+
+// watch begins a watch.
+func (d *reader) watch(ctx context.Context) *watch {
+	ctx, cancel := context.WithCancel(ctx)
+	w := &watch{began: time.Now(), limit: askAfter(), ended: make(chan answer, 1)}
+	done := make(chan struct{})
+	after := d.at
+	go func(ctx context.Context) {
+		defer close(done)
+		s, at, err := d.registry.Changes(ctx, after, watchFor-rand.N(watchFor/4))
+		w.ended <- answer{s, at, err}
+	}(ctx)
+	w.end = func() {
+		cancel()
+		<-done
+	}
+	return w
+}
+
+func askAfter() time.Duration { return checkAfter + rand.N(checkSpread) }
+
 // follow makes one watch and asks for news while it waits.
 func (d *reader) follow(ctx context.Context, first bool) error {
 	d.at = max(d.at, d.r.Revision())
@@ -159,58 +187,48 @@
 		}
 	}
 	d.r.setReading(true)
-	began := time.Now()
-	watch, cancel := context.WithCancel(ctx)
-	ended := make(chan answer, 1)
-	go func(ctx context.Context) {
-		s, at, err := d.registry.Changes(ctx, d.at, watchFor-rand.N(watchFor/4))
-		ended <- answer{s, at, err}
-	}(watch)
-	defer func() {
-		cancel()
-		if ended != nil {
-			<-ended
-		}
-	}()
-	limit := checkAfter + rand.N(checkSpread)
+	w := d.watch(ctx)
+	defer w.end()
 	tick := time.NewTicker(dutyEvery)
 	defer tick.Stop()
 	for {
 		select {
-		case a := <-ended:
-			ended = nil
+		case a := <-w.ended:
 			if a.err != nil {
 				return a.err
 			}
 			if err := d.changes(a); err != nil {
 				return err
 			}
-			waits.Sleep(ctx, gap-time.Since(began))
+			waits.Sleep(ctx, gap-time.Since(w.began))
 			return nil
 		case now := <-tick.C:
-			if reads, _ := d.r.duty(now, d.started); !reads && now.Sub(began) > actFor {
-				return nil
-			}
-			if until := d.r.kept(); !until.IsZero() && now.After(until) {
-				return errLapsed // what is still missing is gone
-			}
-			if d.r.age(now) < limit {
-				continue
-			}
-			at := d.at
-			if err := d.check(ctx); err != nil {
+			if over, err := d.tend(ctx, now, w); over || err != nil {
 				return err
 			}
-			if d.at != at {
-				return nil // the watch has not heard of it
-			}
-			limit = checkAfter + rand.N(checkSpread)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
+// tend looks at a watch in progress. It reports whether the watch is to end.
+func (d *reader) tend(ctx context.Context, now time.Time, w *watch) (over bool, err error) {
+	if reads, _ := d.r.duty(now, d.started); !reads && now.Sub(w.began) > actFor {
+		return true, nil
+	}
+	if until := d.r.kept(); !until.IsZero() && now.After(until) {
+		return true, errLapsed // what is still missing is gone
+	}
+	if d.r.age(now) < w.limit {
+		return false, nil
+	}
+	w.limit = askAfter()
+	at := d.at
+	err = d.check(ctx)
+	return d.at != at, err // the watch has not heard of what is new
+}
+
 // check asks whether there is anything new.
 func (d *reader) check(ctx context.Context) error {
 	begin := time.Now()
@@ -230,7 +248,7 @@
 func (d *reader) changes(a answer) error {
 	now := time.Now()
 	d.at, d.answered = max(d.at, a.at), now
-	if d.r.readChanges(now, a.s) {
+	if d.r.applyChanges(now, a.s) {
 		d.r.log.Warn("most servers were removed at once; their entries are kept for a while", "For", d.republished)
 		d.r.keepMissing(now.Add(d.republished))
 		return errLapsed
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -287,7 +287,7 @@
 			case 7:
 				if at[i] > 0 && watch[i] == nil {
 					s, seen := g.since(at[i]), g.rev
-					watch[i] = func() { r.readChanges(now, s); at[i] = max(at[i], seen) }
+					watch[i] = func() { r.applyChanges(now, s); at[i] = max(at[i], seen) }
 				}
 			case 9:
 				if watch[i] != nil {
@@ -307,11 +307,11 @@
 				g.route(g.routing.Version + 1)
 			case 3:
 				s, seen, _ := g.Read(nil)
-				r.readAll(now, s, seen)
+				r.applyAll(now, s, seen)
 				at[i], watch[i] = seen, nil
 			case 4:
 				if at[i] > 0 && watch[i] == nil {
-					r.readChanges(now, g.since(at[i]))
+					r.applyChanges(now, g.since(at[i]))
 					at[i] = g.rev
 				}
 			case 5:
@@ -327,10 +327,10 @@
 		}
 		// The first reads all, the others go on with their watches or ask it.
 		s, seen, _ := g.Read(nil)
-		rosters[0].readAll(now, s, seen)
+		rosters[0].applyAll(now, s, seen)
 		for i, r := range rosters {
 			if at[i] > 0 {
-				r.readChanges(now, g.since(at[i]))
+				r.applyChanges(now, g.since(at[i]))
 				continue
 			}
 			q := question{r.revision, r.routing.Version}
--- a/slots/gate.go
+++ b/slots/gate.go
@@ -18,26 +18,12 @@
 	// bound holds for every second that begins while it is cold, and the rest
 	// covers the way of the report and of requests.
 	coldMargin = coldWindow + 100*time.Millisecond
-	// slowdownKeep is how long a reported slowdown is believed.
-	slowdownKeep = 250 * time.Millisecond
-	// slow is how many times the steady pace a slowdown has to be to count.
-	slow = 1.5
-	// firstSpell is how long a slowdown is expected to last until some were
-	// seen, and maxSpell bounds what is learned: a longer one is no spell.
-	firstSpell = 150 * time.Millisecond
-	maxSpell   = time.Second
-	// holdStep is how soon a request that waits for a better moment is looked
-	// at again if the server reports nothing.
-	holdStep = 20 * time.Millisecond
 	// dueMargin is the share by which a request may take longer than expected
 	// and still meet its objective when it begins now.
 	dueMargin = 1.2
 	// objectiveShare is the part of the time until its objective that a request
 	// is expected to take at the server until some of its class were seen.
 	objectiveShare = 0.4
-	// steadyFor is the span whose least slowdown is the steady pace. It covers
-	// several spells, so that a lasting slowdown is not waited for.
-	steadyFor = time.Second
 	// maxWaiting bounds the queue, in requests per slot.
 	maxWaiting = 4
 	// minRetryAfter is the shortest time that a refusal asks a caller to wait.
@@ -136,14 +122,6 @@
 	g.starts = slices.Delete(g.starts, 0, n)
 }
 
-// pace returns the current slowdown, 1 if it is not known.
-func (g *gate) pace(now time.Time) float64 {
-	if g.slowdown > 0 && now.Sub(g.slowedAt) < slowdownKeep {
-		return g.slowdown
-	}
-	return 1
-}
-
 // expected returns how long a request takes at the steady pace, as far as that is
 // known.
 func (g *gate) expected(now time.Time, t *ticket) time.Duration {
@@ -222,21 +200,6 @@
 	return t.request.Objective
 }
 
-// hold reports whether a request gains by waiting: the server is slowed down, and
-// that is expected to end before the request would. Servers fix the duration of
-// a request when it begins.
-func (g *gate) hold(now time.Time, t *ticket) bool {
-	p := g.pace(now) / g.steadyPace(now)
-	if p < slow {
-		return false
-	}
-	e := g.expected(now, t)
-	if time.Duration((p-1)*float64(e)) < g.spell {
-		return false
-	}
-	return now.Add(holdStep + time.Duration(dueMargin*float64(e))).Before(t.request.Deadline)
-}
-
 // ahead returns the number of waiting tickets that go before a new one.
 func (g *gate) ahead(now time.Time, t *ticket) (n int) {
 	order := g.compare(now)
@@ -405,29 +368,6 @@
 	}
 }
 
-// learnPace takes a reported slowdown and learns how long a spell of it lasts.
-func (g *gate) learnPace(now time.Time, slowdown float64) {
-	g.slowdown, g.slowedAt = slowdown, now
-	if slowdown <= g.steady || now.Sub(g.steadyAt) > steadyFor {
-		g.steady, g.steadyAt = slowdown, now
-	}
-	switch fast := slowdown < slow*g.steady; {
-	case !fast && g.spellFrom.IsZero():
-		g.spellFrom = now
-	case fast && !g.spellFrom.IsZero():
-		g.spell = mean(g.spell, min(now.Sub(g.spellFrom), maxSpell))
-		g.spellFrom = time.Time{}
-	}
-}
-
-// steadyPace returns the least slowdown of late, 1 if it is not known.
-func (g *gate) steadyPace(now time.Time) float64 {
-	if g.steady > 0 && now.Sub(g.steadyAt) < 2*steadyFor {
-		return g.steady
-	}
-	return 1
-}
-
 func (g *gate) down(now time.Time, cause error) {
 	if g.server != "" {
 		g.c.Logger.Warn("server is down", "Server", g.server, "Cause", cause)
