roster: equal entries are not sent between nodes that start together

Change: a question carries a digest of the asker's entries; where it is equal, the answer gives the revision alone.

The test failed first in that it did not build; without the comparison it fails.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -45,6 +45,8 @@
 	reading   bool      // this node follows the registry
 	heard     map[prim.HostName]hearing
 	ranking   ranking
+	digested  *prim.Placement // whose entries sum up to sum
+	sum       uint64
 }
 
 var _ prim.Placements = (*Roster)(nil)
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -281,7 +281,7 @@
 			switch rapid.IntRange(0, 9).Draw(t, "what") {
 			case 6:
 				o := rosters[rapid.IntRange(0, len(rosters)-1).Draw(t, "other")]
-				q := question{r.revision, r.routing.Version}
+				q := r.question()
 				s := o.since(q)
 				late = append(late, func() { r.adopt(s, "test") })
 			case 7:
@@ -316,7 +316,7 @@
 				}
 			case 5:
 				o := rosters[rapid.IntRange(0, len(rosters)-1).Draw(t, "other")]
-				q := question{r.revision, r.routing.Version}
+				q := r.question()
 				r.adopt(o.since(q), "test")
 			}
 		}
@@ -333,7 +333,7 @@
 				r.applyChanges(now, g.since(at[i]))
 				continue
 			}
-			q := question{r.revision, r.routing.Version}
+			q := r.question()
 			r.adopt(rosters[0].since(q), "test")
 		}
 		for i, r := range rosters {
@@ -376,7 +376,7 @@
 						continue
 					}
 					if to.Heard(now, from.c.Host, s) {
-						q := question{to.Revision(), to.Placement().Routing.Version}
+						q := to.question()
 						to.adopt(from.since(q), "test")
 					}
 				}
@@ -471,3 +471,29 @@
 		is.Equal(r.Placement().Routing.Version, uint64(3))
 	}
 }
+
+// Guards against nodes that start together and send all entries to each other, since
+// each has read at another revision.
+func TestEqualEntriesAreNotSent(t *testing.T) {
+	is := is.New(t)
+	g := newRegistry()
+	for i := range 50 {
+		g.put(fmt.Sprint("i-", i), false)
+	}
+	read := func() *Roster {
+		r := New(Config{DataCentre: "a"})
+		s, at, _ := g.Read(nil)
+		r.applyAll(epoch, s, at)
+		return r
+	}
+	early := read()
+	g.set(func() {}) // something that does not matter here
+	late := read()
+	s := late.since(early.question())
+	is.True(s.Same && len(s.Servers) == 0)
+	early.adopt(s, "test")
+	is.Equal(early.Revision(), late.Revision())
+	g.drop("i-7")
+	s = read().since(early.question())
+	is.True(s.Whole && len(s.Servers) == 49)
+}
--- a/roster/share.go
+++ b/roster/share.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/zeebo/xxh3"
 
 	prim "github.com/primrosethread/primrosethread"
 )
@@ -32,12 +34,14 @@
 type question struct {
 	Revision uint64 `cbor:"1,keyasint"`
 	Routing  uint64 `cbor:"2,keyasint"` // version of the asker's routes
+	Digest   uint64 `cbor:"3,keyasint"` // of the asker's entries
 }
 
 // state is the body of the answer.
 type state struct {
 	Revision uint64              `cbor:"1,keyasint"`
 	Whole    bool                `cbor:"2,keyasint"` // Servers lists all of them
+	Same     bool                `cbor:"7,keyasint"` // the asker has the same entries
 	Routing  *prim.Routing       `cbor:"3,keyasint"` // nil if the asker has it
 	Switches []prim.CentreSwitch `cbor:"4,keyasint"`
 	Servers  []prim.ServerEntry  `cbor:"5,keyasint"`
@@ -56,18 +60,21 @@
 
 // since returns what is newer than a question's state.
 func (r *Roster) since(q question) state {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	s := state{Revision: r.revision, Whole: q.Revision < r.removalsFrom, Switches: r.now.Switches}
+	if s.Whole && q.Digest == r.digest() {
+		s.Whole, s.Same = false, true
+	}
 	if r.routing.Version > q.Routing {
 		s.Routing = &r.routing
 	}
 	for _, e := range r.servers {
-		if s.Whole || e.Revision > q.Revision {
+		if s.Whole || !s.Same && e.Revision > q.Revision {
 			s.Servers = append(s.Servers, e)
 		}
 	}
-	if !s.Whole {
+	if !s.Whole && !s.Same {
 		for _, m := range r.removals {
 			if m.Revision > q.Revision {
 				s.Removed = append(s.Removed, m)
@@ -79,10 +86,7 @@
 
 // Fetch takes over what is newer at another node.
 func (r *Roster) Fetch(ctx context.Context, t prim.Transport, from prim.HostName) error {
-	r.mu.RLock()
-	q := question{Revision: r.revision, Routing: r.routing.Version}
-	r.mu.RUnlock()
-	body, err := encoding.Marshal(q)
+	body, err := encoding.Marshal(r.question())
 	if err != nil {
 		return err
 	}
@@ -98,6 +102,34 @@
 	return nil
 }
 
+// question returns what this node asks another one.
+func (r *Roster) question() question {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return question{r.revision, r.routing.Version, r.digest()}
+}
+
+// digest returns a sum of the entries whatever their order and revisions. Nodes that
+// start together have the same entries as of different revisions, and need not send
+// them to each other. The caller holds r.mu.
+func (r *Roster) digest() uint64 {
+	if r.digested == r.now {
+		return r.sum
+	}
+	var sum uint64
+	for _, e := range r.servers {
+		e.Revision = 0
+		e.Born = e.Born.UTC()
+		b, err := encoding.Marshal(e)
+		if err != nil {
+			return rand.Uint64() // equal to no other
+		}
+		sum += xxh3.Hash(b)
+	}
+	r.digested, r.sum = r.now, sum
+	return sum
+}
+
 // adopt takes another node's answer to a question. This node's state may have moved
 // meanwhile: what it has by then is not lost, since each value has its revision.
 func (r *Roster) adopt(s state, source string) {
@@ -124,6 +156,8 @@
 				r.removeServer(prim.Removal{ID: id, Revision: s.Revision}, source)
 			}
 		}
+	}
+	if s.Whole || s.Same {
 		r.removals, r.removalsFrom = nil, s.Revision
 	}
 	r.rebuild(s.Revision, source)
