roster: a node listens to three readers, not to all of its data centre

Cause: worked out for docs/CAPACITY.md: 535 hosts have 35 readers, and every node linked to all of them, so each reader pushed samples to 534 nodes; who they are was computed anew five times a second with a square number of hashes.

Change: the order of the hosts is computed once for each placement; a node listens to three readers from its own place on, one more than it has to hear. TestListenersAreSpread checks 320 hosts. Nothing changes for data centres of fewer than 32 hosts.

--- a/roster/duty.go
+++ b/roster/duty.go
@@ -1,6 +1,8 @@
 package roster
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -19,6 +21,9 @@
 	// hostsPerReader the number of hosts for each further one.
 	leastReaders   = 2
 	hostsPerReader = 16
+	// listenTo is the number of readers that a node listens to: one more than it
+	// needs.
+	listenTo = leastReaders + 1
 	// hearFor is how long a reader counts after its last sample. Samples come
 	// five times a second.
 	hearFor = 700 * time.Millisecond
@@ -34,34 +39,32 @@
 	reading bool
 }
 
-// ranking caches this node's place in the order of a placement's hosts.
+// ranking caches who of a placement's hosts reads.
 type ranking struct {
-	of      *prim.Placement
-	readers bool // this node is one of the first
+	of     *prim.Placement
+	first  bool            // this node is to read
+	listen []prim.HostName // the readers that this node listens to
 }
 
 // readers returns how many of the hosts of a data centre are to read.
 func readers(hosts int) int { return leastReaders + hosts/hostsPerReader }
 
-// designated reports whether this node is one of the first of its data centre.
-// The caller holds r.mu.
-func (r *Roster) designated() bool {
+// ranked returns who of the hosts in force reads. The caller holds r.mu.
+func (r *Roster) ranked() ranking {
 	if r.ranking.of == r.now {
-		return r.ranking.readers
+		return r.ranking
 	}
-	own := xxh3.HashString(string(r.c.Host))
-	near, before := 0, 0
-	listed := false
-	for _, e := range r.now.Near(r.c.DataCentre) {
-		near++
-		if e.Host == r.c.Host {
-			listed = true
-		} else if xxh3.HashString(string(e.Host)) < own {
-			before++
-		}
+	near := slices.SortedFunc(slices.Values(r.now.Near(r.c.DataCentre)), func(a, b *prim.ServerEntry) int {
+		return cmp.Compare(xxh3.HashString(string(a.Host)), xxh3.HashString(string(b.Host)))
+	})
+	first := near[:min(readers(len(near)), len(near))]
+	place := max(0, slices.IndexFunc(near, func(e *prim.ServerEntry) bool { return e.Host == r.c.Host }))
+	v := ranking{of: r.now, first: slices.ContainsFunc(first, func(e *prim.ServerEntry) bool { return e.Host == r.c.Host })}
+	for i := range min(listenTo, len(first)) {
+		v.listen = append(v.listen, first[(place+i)%len(first)].Host)
 	}
-	r.ranking = ranking{r.now, listed && before < readers(near)}
-	return r.ranking.readers
+	r.ranking = v
+	return v
 }
 
 // heardReaders returns the number of other nodes that follow the registry. Those
@@ -82,27 +85,15 @@
 func (r *Roster) duty(now, started time.Time) (reads, first bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.designated() {
+	if r.ranked().first {
 		return true, true
 	}
 	return now.Sub(started) > settle && r.heardReaders(now) < leastReaders, false
 }
 
-// Readers returns the hosts of this data centre that are to read, so that this
-// node can listen to them.
-func (r *Roster) Readers() (hosts []prim.HostName) {
-	near := r.Placement().Near(r.c.DataCentre)
-	for _, e := range near {
-		before := 0
-		own := xxh3.HashString(string(e.Host))
-		for _, o := range near {
-			if xxh3.HashString(string(o.Host)) < own {
-				before++
-			}
-		}
-		if before < readers(len(near)) {
-			hosts = append(hosts, e.Host)
-		}
-	}
-	return hosts
+// Readers returns the hosts of this data centre that this node listens to.
+func (r *Roster) Readers() []prim.HostName {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ranked().listen
 }
--- a/roster/follow.go
+++ b/roster/follow.go
@@ -261,7 +261,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.reading != on {
-		r.log.Info("reading of the registry changed", "Reading", on, "First", r.designated(), "Heard", r.heardReaders(time.Now()), "Revision", r.revision)
+		r.log.Info("reading of the registry changed", "Reading", on, "First", r.ranked().first, "Heard", r.heardReaders(time.Now()), "Revision", r.revision)
 	}
 	r.reading = on
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -497,3 +497,33 @@
 	s = read().since(early.question())
 	is.True(s.Whole && len(s.Servers) == 49)
 }
+
+// Guards against readers that all nodes of a large data centre link to, and against
+// nodes that listen to too few.
+func TestListenersAreSpread(t *testing.T) {
+	is := is.New(t)
+	g := newRegistry()
+	const hosts = 320
+	for i := range hosts {
+		g.put(fmt.Sprint("i-", i), false)
+	}
+	s, at, _ := g.Read(nil)
+	listeners := make(map[prim.HostName]int)
+	first := 0
+	for i := range hosts {
+		r := New(Config{Host: prim.HostName(fmt.Sprint("host-i-", i)), DataCentre: "a"})
+		r.applyAll(epoch, s, at)
+		is.Equal(len(r.Readers()), listenTo)
+		for _, h := range r.Readers() {
+			listeners[h]++
+		}
+		if r.ranked().first {
+			first++
+		}
+	}
+	is.Equal(first, readers(hosts))
+	is.Equal(len(listeners), readers(hosts))
+	for _, n := range listeners {
+		is.True(n <= listenTo*(hosts/readers(hosts)+1))
+	}
+}
