roster: nodes that take over go on reading; a server's own removal is seen for oneself

Two faults of the new readers: the nodes that read for lack of readers all stopped when they heard each other, again and again; and after a dropped history each relied on the others, so nobody read anything. A third: a node whose host alone is cut off heard from others that its server's entry was gone and refused all work for it.

Change: a node that reads stops only for readers before it in the order of the hosts; only a node that need not read relies on others; the removal of a server's own entry counts when its node has read it in the registry.

TestOthersTakeOverForGood and TestOwnEntryIsKeptWhenOthersTell failed first. Open: such a node no longer uses the servers of other hosts that are cut off likewise.

--- a/roster/apply.go
+++ b/roster/apply.go
@@ -32,6 +32,7 @@
 func (r *Roster) applyAll(now time.Time, s prim.Published, at uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.doubted = false
 	r.take(s, 0)
 	listed := make(map[string]bool, len(s.Servers))
 	for _, e := range s.Servers {
--- a/roster/duty.go
+++ b/roster/duty.go
@@ -55,7 +55,7 @@
 		return r.ranking
 	}
 	near := slices.SortedFunc(slices.Values(r.now.Near(r.c.DataCentre)), func(a, b *prim.ServerEntry) int {
-		return cmp.Compare(xxh3.HashString(string(a.Host)), xxh3.HashString(string(b.Host)))
+		return cmp.Compare(order(a.Host), order(b.Host))
 	})
 	first := near[:min(readers(len(near)), len(near))]
 	place := max(0, slices.IndexFunc(near, func(e *prim.ServerEntry) bool { return e.Host == r.c.Host }))
@@ -67,20 +67,27 @@
 	return v
 }
 
-// heardReaders returns the number of other nodes that follow the registry. Those
-// that were not heard from for long are forgotten. The caller holds r.mu.
-func (r *Roster) heardReaders(now time.Time) (n int) {
+// heardReaders returns the number of other nodes that follow the registry, and how
+// many of them come before this node in the order of the hosts. Those that were not
+// heard from for long are forgotten. The caller holds r.mu.
+func (r *Roster) heardReaders(now time.Time) (all, before int) {
+	own := order(r.c.Host)
 	for h, v := range r.heard {
 		switch age := now.Sub(v.at); {
 		case age >= 10*hearFor:
 			delete(r.heard, h)
 		case age < hearFor && v.reading:
-			n++
+			all++
+			if order(h) < own {
+				before++
+			}
 		}
 	}
-	return n
+	return all, before
 }
 
+func order(h prim.HostName) uint64 { return xxh3.HashString(string(h)) }
+
 // duty reports whether this node is to read, and whether it is one of the first.
 func (r *Roster) duty(now, started time.Time) (reads, first bool) {
 	r.mu.Lock()
@@ -88,7 +95,13 @@
 	if r.ranked().first {
 		return true, true
 	}
-	return now.Sub(started) > settle && r.heardReaders(now) < leastReaders, false
+	all, before := r.heardReaders(now)
+	if r.reading {
+		// If all that read for lack of readers stopped as soon as they hear each
+		// other, none would be left.
+		return before < leastReaders, false
+	}
+	return now.Sub(started) > settle && all < leastReaders, false
 }
 
 // Readers returns the hosts of this data centre that this node listens to.
--- a/roster/follow.go
+++ b/roster/follow.go
@@ -71,6 +71,9 @@
 // step reads everything, follows the changes, or waits until this node is to read.
 func (d *reader) step(ctx context.Context) {
 	reads, first := d.r.duty(time.Now(), d.started)
+	if d.r.doubts() {
+		d.at = 0
+	}
 	if d.at > 0 && !reads {
 		d.r.setReading(false)
 		waits.Sleep(ctx, dutyEvery)
@@ -110,7 +113,7 @@
 	}
 	for end := time.Now().Add(pause); ctx.Err() == nil && time.Now().Before(end); {
 		waits.Sleep(ctx, min(dutyEvery, time.Until(end)))
-		if d.r.known() && d.r.othersRead(time.Now()) {
+		if d.r.known() && d.r.othersRead(time.Now()) && !d.r.doubts() {
 			break
 		}
 	}
@@ -118,7 +121,7 @@
 
 // readAll reads everything.
 func (d *reader) readAll(ctx context.Context) error {
-	if _, first := d.r.duty(time.Now(), d.started); !first && d.r.known() && d.r.othersRead(time.Now()) {
+	if reads, _ := d.r.duty(time.Now(), d.started); !reads && d.r.known() && d.r.othersRead(time.Now()) && !d.r.doubts() {
 		d.at = d.r.Revision()
 		return nil
 	}
@@ -261,7 +264,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.reading != on {
-		r.log.Info("reading of the registry changed", "Reading", on, "First", r.ranked().first, "Heard", r.heardReaders(time.Now()), "Revision", r.revision)
+		heard, _ := r.heardReaders(time.Now())
+		r.log.Info("reading of the registry changed", "Reading", on, "First", r.ranked().first, "Heard", heard, "Revision", r.revision)
 	}
 	r.reading = on
 }
@@ -286,6 +290,13 @@
 	return r.keepUntil
 }
 
+// doubts reports whether this node has to see for itself if its server's entry is gone.
+func (r *Roster) doubts() bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.doubted
+}
+
 // known reports whether anything is known.
 func (r *Roster) known() bool {
 	r.mu.RLock()
@@ -297,5 +308,6 @@
 func (r *Roster) othersRead(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.heardReaders(now) >= leastReaders
+	n, _ := r.heardReaders(now)
+	return n >= leastReaders
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -43,6 +43,7 @@
 	keepUntil time.Time // entries that go missing are kept until then
 	missed    []missed  // removed of late
 	reading   bool      // this node follows the registry
+	doubted   bool      // other nodes tell that this host's server is gone
 	heard     map[prim.HostName]hearing
 	ranking   ranking
 	digested  *prim.Placement // whose entries sum up to sum
@@ -186,6 +187,11 @@
 	if known && old.Revision >= m.Revision || r.removedAt(m.ID) >= m.Revision {
 		return false
 	}
+	if known && old.Host == r.c.Host && !old.Draining && source != registrySource {
+		// It lapses also where this host alone is cut off from the registry.
+		r.doubted = true
+		return false
+	}
 	delete(r.servers, m.ID)
 	r.removals = append(r.removals, m)
 	if n := len(r.removals) - maxRemovals; n > 0 {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -527,3 +527,85 @@
 		is.True(n <= listenTo*(hosts/readers(hosts)+1))
 	}
 }
+
+// Guards against a server that gets no more work because its host alone is cut off
+// from the registry: its entry lapses, and the other nodes tell so.
+func TestOwnEntryIsKeptWhenOthersTell(t *testing.T) {
+	is := is.New(t)
+	g := newRegistry()
+	g.put("i-0", false)
+	g.put("i-1", false)
+	read := func(r *Roster) {
+		s, at, _ := g.Read(nil)
+		r.applyAll(epoch, s, at)
+	}
+	own, other := New(Config{Host: "host-i-0", DataCentre: "a"}), New(Config{Host: "host-i-1", DataCentre: "a"})
+	read(own)
+	g.drop("i-0")
+	read(other)
+	own.adopt(other.since(own.question()), "test")
+	is.Equal(own.Revision(), other.Revision())
+	is.True(own.Placement().Entry("i-0") != nil)
+	is.True(own.doubts())
+	// What the node reads itself counts.
+	read(own)
+	is.True(own.Placement().Entry("i-0") == nil)
+	is.True(!own.doubts())
+}
+
+// Guards against a node that relies on others and goes on with its server after the
+// server's entry was removed.
+func TestOwnRemovalIsReadAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRegistry()
+		rosters, _ := group(t, g, 20)
+		time.Sleep(10 * time.Second)
+		for i, r := range rosters {
+			if r.Stamp(time.Now(), prim.Sample{}).Reading {
+				continue
+			}
+			id := fmt.Sprint("i-", i)
+			g.drop(id)
+			time.Sleep(watchGap + 3*dutyEvery + 400*time.Millisecond)
+			is.True(r.Placement().Entry(id) == nil)
+			return
+		}
+	})
+}
+
+// Guards against nodes that all rely on each other: where the first ones are silent,
+// each of the others hears the rest read, and after a dropped history nobody reads
+// anything.
+func TestOthersTakeOverForGood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRegistry()
+		rosters, silenced := group(t, g, 12)
+		time.Sleep(10 * time.Second)
+		for i, r := range rosters {
+			silenced[i].Store(r.Stamp(time.Now(), prim.Sample{}).Reading)
+		}
+		time.Sleep(5 * time.Second)
+		for version := uint64(2); version < 12; version++ {
+			acting := 0
+			for i, r := range rosters {
+				if !silenced[i].Load() && r.Stamp(time.Now(), prim.Sample{}).Reading {
+					acting++
+				}
+			}
+			is.True(acting >= leastReaders)
+			is.True(acting <= leastReaders+1)
+			g.set(func() { g.from, g.deaf = g.rev, true })
+			g.route(version)
+			g.set(func() { g.from = g.rev })
+			time.Sleep(checkAfter + checkSpread + 2*actFor)
+			g.set(func() { g.deaf = false })
+			for i, r := range rosters {
+				if !silenced[i].Load() {
+					is.Equal(r.Placement().Routing.Version, version)
+				}
+			}
+		}
+	})
+}
