roster: a node that can't read the registry keeps the servers that others drop

Change: removals without draining that other nodes tell are kept in the placement of a node that can't read the registry, and those of the last 5 s are taken back when it notices; they are not passed on. Back at the registry, what is missing is kept for the time in which living servers are listed again, then dropped.

TestCutOffNodeKeepsServers.

--- a/roster/apply.go
+++ b/roster/apply.go
@@ -18,6 +18,10 @@
 	lapseShare  = 0.5
 	// lapseLeast is the least number of them.
 	lapseLeast = 3
+	// toldFor is how long before the loss of the registry removals may have been
+	// told to be taken back. Entries of hosts that are cut off together lapse within
+	// a heartbeat, and a lost call takes up to 1.5 s.
+	toldFor = 5 * time.Second
 )
 
 const registrySource = "registry"
@@ -32,7 +36,7 @@
 func (r *Roster) applyAll(now time.Time, s prim.Published, at uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.doubted = false
+	r.doubted, r.lost, r.told = false, false, nil
 	r.take(s, 0)
 	listed := make(map[string]bool, len(s.Servers))
 	for _, e := range s.Servers {
@@ -41,6 +45,7 @@
 	keep := now.Before(r.keepUntil)
 	if !keep {
 		r.keepUntil = time.Time{}
+		clear(r.held)
 	} else {
 		for _, m := range r.missed {
 			if _, known := r.servers[m.entry.ID]; !known {
@@ -124,6 +129,42 @@
 	return changed, revision
 }
 
+// hold keeps an entry here that others tell is removed, as long as this node can't see
+// for itself: it lapses also where its host alone is cut off from the registry, and
+// what is cut off likewise may be within reach. The caller holds r.mu.
+func (r *Roster) hold(e prim.ServerEntry, now time.Time) {
+	own := e.Host == r.c.Host
+	r.doubted = r.doubted || own
+	if own || r.lost {
+		r.held[e.ID] = e
+		return
+	}
+	for len(r.told) > 0 && now.Sub(r.told[0].at) >= toldFor {
+		r.told = r.told[1:]
+	}
+	r.told = append(r.told, missed{e, now})
+}
+
+// setLost notes that this node can't read the registry. Removals that others told a
+// moment ago are taken back.
+func (r *Roster) setLost(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lost {
+		return
+	}
+	r.lost = true
+	for _, m := range r.told {
+		if _, back := r.servers[m.entry.ID]; !back && now.Sub(m.at) < toldFor {
+			r.held[m.entry.ID] = m.entry
+		}
+	}
+	r.told = nil
+	if len(r.held) > 0 {
+		r.rebuild(r.revision, "held")
+	}
+}
+
 // keepMissing keeps entries that go missing for a time.
 func (r *Roster) keepMissing(until time.Time) {
 	r.mu.Lock()
--- a/roster/follow.go
+++ b/roster/follow.go
@@ -105,6 +105,7 @@
 	if d.lostAt.IsZero() {
 		d.lostAt = time.Now()
 		d.r.log.Warn("registry lost", "Error", err)
+		d.r.setLost(d.lostAt)
 	}
 	d.retry = min(max(2*d.retry, minRetry), maxRetry)
 	pause := waits.Jitter(d.retry)
@@ -290,11 +291,12 @@
 	return r.keepUntil
 }
 
-// doubts reports whether this node has to see for itself if its server's entry is gone.
+// doubts reports whether this node has to see for itself: if its server's entry is
+// gone, or what is still missing after an outage.
 func (r *Roster) doubts() bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return r.doubted
+	return r.doubted || !r.keepUntil.IsZero() && time.Now().After(r.keepUntil)
 }
 
 // known reports whether anything is known.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -39,11 +39,14 @@
 	// revision is that of the newest change: the state is complete up to it.
 	revision  uint64
 	routedAt  time.Time
-	confirmed time.Time // when the state was last known to be current
-	keepUntil time.Time // entries that go missing are kept until then
-	missed    []missed  // removed of late
-	reading   bool      // this node follows the registry
-	doubted   bool      // other nodes tell that this host's server is gone
+	confirmed time.Time                   // when the state was last known to be current
+	keepUntil time.Time                   // entries that go missing are kept until then
+	missed    []missed                    // removed of late
+	reading   bool                        // this node follows the registry
+	doubted   bool                        // other nodes tell that this host's server is gone
+	lost      bool                        // this node can't read the registry
+	told      []missed                    // removals that other nodes told of late
+	held      map[string]prim.ServerEntry // removed elsewhere, kept here
 	heard     map[prim.HostName]hearing
 	ranking   ranking
 	digested  *prim.Placement // whose entries sum up to sum
@@ -62,6 +65,7 @@
 		switches: make(map[prim.DataCentre]prim.CentreSwitch),
 		servers:  make(map[string]prim.ServerEntry),
 		heard:    make(map[prim.HostName]hearing),
+		held:     make(map[string]prim.ServerEntry),
 		now:      prim.NewPlacement(prim.Routing{}, nil, nil),
 	}
 }
@@ -110,7 +114,8 @@
 	switches := slices.SortedFunc(maps.Values(r.switches), func(a, b prim.CentreSwitch) int {
 		return int(a.Revision) - int(b.Revision)
 	})
-	servers := slices.SortedFunc(maps.Values(r.servers), func(a, b prim.ServerEntry) int {
+	listed := slices.AppendSeq(slices.Collect(maps.Values(r.servers)), maps.Values(r.held))
+	servers := slices.SortedFunc(slices.Values(listed), func(a, b prim.ServerEntry) int {
 		return strings.Compare(a.ID, b.ID)
 	})
 	r.now = prim.NewPlacement(r.routing, switches, servers)
@@ -170,6 +175,7 @@
 		return false
 	}
 	r.servers[e.ID] = e
+	delete(r.held, e.ID)
 	if known && old.Same(&e) {
 		return false
 	}
@@ -187,12 +193,10 @@
 	if known && old.Revision >= m.Revision || r.removedAt(m.ID) >= m.Revision {
 		return false
 	}
-	if known && old.Host == r.c.Host && !old.Draining && source != registrySource {
-		// It lapses also where this host alone is cut off from the registry.
-		r.doubted = true
-		return false
-	}
 	delete(r.servers, m.ID)
+	if known && !old.Draining && source != registrySource {
+		r.hold(old, time.Now())
+	}
 	r.removals = append(r.removals, m)
 	if n := len(r.removals) - maxRemovals; n > 0 {
 		r.removalsFrom = r.removals[n-1].Revision
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -609,3 +609,43 @@
 		}
 	})
 }
+
+// Guards against a node that is cut off from the registry with others and stops using
+// their servers, which it reaches, because the rest tell that their entries lapsed;
+// and against keeping them when it is back.
+func TestCutOffNodeKeepsServers(t *testing.T) {
+	is := is.New(t)
+	g := newRegistry()
+	for i := range 6 {
+		g.put(fmt.Sprint("i-", i), false)
+	}
+	read := func(r *Roster, now time.Time) {
+		s, at, _ := g.Read(nil)
+		r.applyAll(now, s, at)
+	}
+	cut, other := New(Config{Host: "host-i-0", DataCentre: "a"}), New(Config{Host: "host-i-5", DataCentre: "a"})
+	now := time.Now()
+	read(cut, now)
+	read(other, now)
+	tell := func(id string) {
+		g.drop(id)
+		read(other, now)
+		cut.adopt(other.since(cut.question()), "test")
+	}
+	tell("i-1")
+	is.Equal(len(cut.Placement().Servers), 5) // it may be gone
+	tell("i-0")
+	is.True(cut.doubts())
+	cut.setLost(now)
+	tell("i-2")
+	is.Equal(len(cut.Placement().Servers), 6)
+	s := cut.since(question{})
+	is.Equal(len(s.Servers), 3) // what is held is not passed on
+	// The registry is back: what is missing is kept for a while.
+	cut.keepMissing(now.Add(republished))
+	g.put("i-2", false)
+	read(cut, now)
+	is.Equal(len(cut.Placement().Servers), 6)
+	read(cut, now.Add(2*republished))
+	is.Equal(len(cut.Placement().Servers), 4)
+}
