roster: a test of a running node that is cut off; lint

Cause: with the notice of a lost registry, or the end of what is held, switched off no test failed; the linter refused a nil context. Change: TestCutOffNodeNotices follows a node that relies on others through a cut and its end; it fails with either switched off.

--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -306,7 +306,7 @@
 			case 2:
 				g.route(g.routing.Version + 1)
 			case 3:
-				s, seen, _ := g.Read(nil)
+				s, seen, _ := g.Read(context.Background())
 				r.applyAll(now, s, seen)
 				at[i], watch[i] = seen, nil
 			case 4:
@@ -326,7 +326,7 @@
 			}
 		}
 		// The first reads all, the others go on with their watches or ask it.
-		s, seen, _ := g.Read(nil)
+		s, seen, _ := g.Read(context.Background())
 		rosters[0].applyAll(now, s, seen)
 		for i, r := range rosters {
 			if at[i] > 0 {
@@ -482,7 +482,7 @@
 	}
 	read := func() *Roster {
 		r := New(Config{DataCentre: "a"})
-		s, at, _ := g.Read(nil)
+		s, at, _ := g.Read(context.Background())
 		r.applyAll(epoch, s, at)
 		return r
 	}
@@ -507,7 +507,7 @@
 	for i := range hosts {
 		g.put(fmt.Sprint("i-", i), false)
 	}
-	s, at, _ := g.Read(nil)
+	s, at, _ := g.Read(context.Background())
 	listeners := make(map[prim.HostName]int)
 	first := 0
 	for i := range hosts {
@@ -536,7 +536,7 @@
 	g.put("i-0", false)
 	g.put("i-1", false)
 	read := func(r *Roster) {
-		s, at, _ := g.Read(nil)
+		s, at, _ := g.Read(context.Background())
 		r.applyAll(epoch, s, at)
 	}
 	own, other := New(Config{Host: "host-i-0", DataCentre: "a"}), New(Config{Host: "host-i-1", DataCentre: "a"})
@@ -620,7 +620,7 @@
 		g.put(fmt.Sprint("i-", i), false)
 	}
 	read := func(r *Roster, now time.Time) {
-		s, at, _ := g.Read(nil)
+		s, at, _ := g.Read(context.Background())
 		r.applyAll(now, s, at)
 	}
 	cut, other := New(Config{Host: "host-i-0", DataCentre: "a"}), New(Config{Host: "host-i-5", DataCentre: "a"})
@@ -649,3 +649,76 @@
 	read(cut, now.Add(2*republished))
 	is.Equal(len(cut.Placement().Servers), 4)
 }
+
+// severed is one node's way to a registry, which may be cut.
+type severed struct {
+	*registry
+	off atomic.Bool
+}
+
+var errSevered = errors.New("no way to the registry")
+
+func (s *severed) Read(ctx context.Context) (prim.Published, uint64, error) {
+	if s.off.Load() {
+		return prim.Published{}, 0, errSevered
+	}
+	return s.registry.Read(ctx)
+}
+
+func (s *severed) Changes(ctx context.Context, after uint64, d time.Duration) (prim.Published, uint64, error) {
+	if s.off.Load() {
+		return prim.Published{}, 0, errSevered
+	}
+	return s.registry.Changes(ctx, after, d)
+}
+
+// Guards against the same at a running node that relies on others: it has to notice
+// that it is cut off, and to drop what it held after the end of that.
+func TestCutOffNodeNotices(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRegistry()
+		for i := range 6 {
+			g.put(fmt.Sprint("i-", i), false)
+		}
+		way := &severed{registry: g}
+		cut, other := New(Config{Host: "host-i-0", DataCentre: "b"}), New(Config{Host: "host-i-5", DataCentre: "a"})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := cut.Follow(ctx, way, republished)
+		// Two readers are heard all the time, so the node itself does not read.
+		pass := func(d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+				s := other.Stamp(time.Now(), prim.Sample{})
+				s.Reading = true
+				for _, h := range []prim.HostName{"reader-1", "reader-2"} {
+					if cut.Heard(time.Now(), h, s) {
+						cut.adopt(other.since(cut.question()), "test")
+					}
+				}
+			}
+		}
+		tell := func(id string) {
+			g.drop(id)
+			s, at, _ := g.Read(ctx)
+			other.applyAll(time.Now(), s, at)
+			pass(time.Second)
+		}
+		pass(5 * time.Second)
+		is.True(!cut.Stamp(time.Now(), prim.Sample{}).Reading)
+		way.off.Store(true)
+		tell("i-1")
+		tell("i-0") // its own: it looks for itself and can't
+		tell("i-2")
+		is.Equal(len(cut.Placement().Servers), 6)
+		way.off.Store(false)
+		g.put("i-0", false)
+		for cut.kept().IsZero() {
+			pass(200 * time.Millisecond)
+		}
+		is.Equal(len(cut.Placement().Servers), 6)
+		pass(2 * republished)
+		is.Equal(len(cut.Placement().Servers), 4)
+		cancel()
+		<-ended
+	})
+}
