--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -50,7 +50,7 @@
 	log             *slog.Logger
 	instance        prim.Instance
 	store           *platform.Client
-	registry        prim.Registry
+	registry        *platform.Registry
 	roster          *roster.Roster
 	peers           *peers.Peers
 	client          *server.Client
--- a/mesh/status.go
+++ b/mesh/status.go
@@ -33,21 +33,31 @@
 	// current.
 	Routing                  uint64
 	RoutingAgeMs, StateAgeMs int64
-	Servers                  int
-	RegistryCalls            int64
-	Requests                 stats.Snapshot
-	Peers                    peers.Status
+	// RoutingRefused is why the newest configuration that this node has read is not in
+	// force, empty if it is; RoutingRefusedMs is the time since it was refused.
+	RoutingRefused   string
+	RoutingRefusedMs int64
+	Servers          int
+	RegistryCalls    int64
+	Requests         stats.Snapshot
+	Peers            peers.Status
 }
 
 // Status returns the current state.
 func (n *Node) Status() Status {
 	p := n.roster.Placement()
 	routes, state := n.roster.Ages(time.Now())
+	refused := n.registry.Refused()
+	refusedFor := time.Duration(0)
+	if refused.Revision > 0 {
+		refusedFor = time.Since(refused.At)
+	}
 	return Status{
 		Host: n.settings().Host, DataCentre: n.settings().DataCentre, Service: n.settings().Service,
 		Instance: n.instance, Version: n.config.Version, Stopping: n.stopping.Load(),
 		Server: n.admitter.ServerID(), Load: n.admitter.Sample(),
 		Routing: p.Routing.Version, RoutingAgeMs: routes.Milliseconds(), StateAgeMs: state.Milliseconds(),
+		RoutingRefused: refused.Cause, RoutingRefusedMs: refusedFor.Milliseconds(),
 		Servers: len(p.Servers), RegistryCalls: n.store.Calls(),
 		Requests: n.recorder.Snapshot(), Peers: n.peers.Status(),
 	}
@@ -90,6 +100,7 @@
 	line("Routing", s.Routing)
 	line("RoutingAgeMs", s.RoutingAgeMs)
 	line("StateAgeMs", s.StateAgeMs)
+	line("RoutingRefusedMs", s.RoutingRefusedMs)
 	line("Servers", s.Servers)
 	line("RegistryCalls", s.RegistryCalls)
 	line("InFlight", s.Load.InFlight)
