server: bound the head of answers, tell late copies of answers

In the node command nothing told a late second copy of an answer from the answer to the next request on the connection; on the mesh an answer without an attempt ID was taken for the current request. Requests of the node command carry their number on the connection, which a server may return; copies are then skipped. An answer that does not tell its request is used only on a connection without an earlier request; otherwise the request ends as Unknown and the connection is closed. Result: TestEndlessHead (8 cases), TestEndlessBody, TestResetWithoutLength, TestLateSecondAnswer and TestUnidentifiedAnswer pass.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -110,7 +110,7 @@
 		},
 	})
 	n.client = server.New(server.Config{Host: s.Host, Address: s.Server, OmitNodeHeaders: true,
-		MatchesRequest: platform.MatchesRequest, IdleTimeout: serverIdle})
+		Match: platform.MatchAnswer, IdleTimeout: serverIdle})
 	n.server = platform.NewServer(s.Host, n.client, n.admitter.ServerID, n.admitter.ApplyReport)
 	n.peers.SetLocal(owner.New(owner.Config{Host: s.Host, Server: checkOnFailure{n}, Admitter: n.admitter}))
 	n.peers.Handle(roster.KindState, n.roster.Handle)
--- /dev/null
+++ b/server/faulty_test.go
@@ -0,0 +1,172 @@
+package server_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/server"
+)
+
+// listen starts a server that handles each connection with serve, and returns its
+// address.
+func listen(t *testing.T, serve func(net.Conn)) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for conn, err := l.Accept(); err == nil; conn, err = l.Accept() {
+			go func() {
+				defer conn.Close()
+				serve(conn)
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// Guards against a server whose head has no end: the client must close the connection
+// after a bounded number of bytes instead of keeping them all in memory until the
+// deadline of the request.
+func TestEndlessHead(t *testing.T) {
+	const endless = 64 << 20 // more than the buffers of both sockets hold
+	for name, c := range map[string]struct{ start, repeated string }{
+		"status line":   {"HTTP/1.1 200 ", "OK"},
+		"header":        {"HTTP/1.1 200 OK\r\nA: ", "b"},
+		"headers":       {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		"informational": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"no answer":     {"", "\x00"},
+		"chunk size":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+		"extension":     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "a"},
+		"trailer":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var sent atomic.Int64
+			address := listen(t, func(conn net.Conn) {
+				http.ReadRequest(bufio.NewReader(conn))
+				io.WriteString(conn, c.start)
+				b := []byte(strings.Repeat(c.repeated, 4096))
+				for sent.Load() < endless {
+					n, err := conn.Write(b)
+					sent.Add(int64(n))
+					if err != nil {
+						return
+					}
+				}
+			})
+			client := server.New(server.Config{Address: address})
+			_, err := client.Do(t.Context(), newRequest("GET", "/"))
+			is.Equal(prim.OutcomeOf(err), prim.Unknown)
+			is.True(sent.Load() < endless)
+			is.Equal(client.Status().Open, 0)
+		})
+	}
+}
+
+// Guards against a body without end that is kept in memory, and one that appears
+// complete to the caller when the deadline ends it.
+func TestEndlessBody(t *testing.T) {
+	is := is.New(t)
+	address := listen(t, func(conn net.Conn) {
+		http.ReadRequest(bufio.NewReader(conn))
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n")
+		for b := make([]byte, 64<<10); ; {
+			if _, err := conn.Write(b); err != nil {
+				return
+			}
+		}
+	})
+	client := server.New(server.Config{Address: address})
+	r := newRequest("GET", "/")
+	r.Deadline = time.Now().Add(200 * time.Millisecond)
+	a, err := client.Do(t.Context(), r)
+	is.NoErr(err)
+	is.True(len(a.Body) <= prim.MaxBufferedBody)
+	_, err = io.Copy(io.Discard, a.Rest)
+	is.Equal(err, io.ErrUnexpectedEOF)
+	is.NoErr(a.Rest.Close())
+	is.Equal(client.Status().Open, 0)
+}
+
+// Guards against an answer without a length that appears complete although its
+// connection was reset.
+func TestResetWithoutLength(t *testing.T) {
+	is := is.New(t)
+	address := listen(t, func(conn net.Conn) {
+		http.ReadRequest(bufio.NewReader(conn))
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+		conn.(*net.TCPConn).SetLinger(0)
+	})
+	_, err := server.New(server.Config{Address: address}).Do(t.Context(), newRequest("GET", "/"))
+	is.Equal(prim.OutcomeOf(err), prim.Unknown)
+}
+
+// duplicating returns a handler of connections that answers each request with the given
+// text and sends the previous answer a second time before it, when the client has
+// already sent its next request.
+func duplicating(answer func(n int, r *http.Request) string) func(net.Conn) {
+	return func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		previous := ""
+		for n := 0; ; n++ {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			next := answer(n, r)
+			io.WriteString(conn, previous+next)
+			previous = next
+		}
+	}
+}
+
+func textAnswer(header, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", header, len(body), body)
+}
+
+// Guards against a late second copy of an answer that is taken for the answer to the
+// next request on the connection.
+func TestLateSecondAnswer(t *testing.T) {
+	is := is.New(t)
+	address := listen(t, duplicating(func(n int, r *http.Request) string {
+		return textAnswer(server.HeaderSequence+": "+r.Header.Get(server.HeaderSequence)+"\r\n", fmt.Sprint(n))
+	}))
+	client := server.New(server.Config{Address: address})
+	for n := range 3 {
+		a, err := client.Do(context.Background(), newRequest("GET", "/"))
+		is.NoErr(err)
+		is.Equal(string(a.Body), fmt.Sprint(n))
+	}
+}
+
+// Guards against an answer without an identifier on a connection that was used before:
+// it may be a late copy, so it must not be taken for an answer, nor for a refusal.
+func TestUnidentifiedAnswer(t *testing.T) {
+	is := is.New(t)
+	address := listen(t, duplicating(func(n int, r *http.Request) string {
+		return textAnswer("", fmt.Sprint(n))
+	}))
+	client := server.New(server.Config{Address: address, OmitNodeHeaders: true,
+		Match: func(*prim.Request, http.Header) server.Match { return server.Unidentified }})
+	a, err := client.Do(context.Background(), newRequest("GET", "/"))
+	is.NoErr(err)
+	is.Equal(string(a.Body), "0")
+	_, err = client.Do(context.Background(), newRequest("GET", "/"))
+	is.Equal(prim.OutcomeOf(err), prim.Unknown)
+	is.Equal(client.Status().Open, 0)
+}
--- a/server/pool.go
+++ b/server/pool.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -20,10 +22,43 @@
 // connection is a pooled connection to the server.
 type connection struct {
 	net         net.Conn
-	reader      *bufio.Reader
+	input       *limitedInput // of net
+	reader      *bufio.Reader // of input
 	writer      *bufio.Writer
 	lastUsed    time.Time
 	idleTimeout time.Duration // unused connections are closed after this time
+	requests    int           // number of requests sent, including the current one
+	// returnsSequence is set once a response had the HeaderSequence of its request.
+	returnsSequence bool
+}
+
+// sequence returns the HeaderSequence of the current request.
+func (c *connection) sequence() string { return strconv.Itoa(c.requests) }
+
+// limitedInput bounds the bytes that are read for the header of a response, since a
+// faulty server may send one without end.
+type limitedInput struct {
+	r         io.Reader
+	limited   bool
+	remaining int // if limited
+}
+
+var errHeaderTooLarge = fmt.Errorf("the header of the answer has more than %d bytes; check the server", prim.MaxHeaderBytes)
+
+func (l *limitedInput) limit(n int) { l.limited, l.remaining = true, n }
+func (l *limitedInput) unlimit()    { l.limited = false }
+
+// Read implements io.Reader. It returns errHeaderTooLarge at the limit.
+func (l *limitedInput) Read(b []byte) (int, error) {
+	if !l.limited {
+		return l.r.Read(b)
+	}
+	if l.remaining <= 0 {
+		return 0, errHeaderTooLarge
+	}
+	n, err := l.r.Read(b)
+	l.remaining -= n
+	return n, err
 }
 
 // acquireConn returns an idle connection that the server has not closed, or a new one. If it
@@ -62,10 +97,12 @@
 		c.mu.Unlock()
 		return nil, c.refusal(prim.ReasonUnreachable)
 	}
+	input := &limitedInput{r: conn}
 	return &connection{
 		idleTimeout: c.config.IdleTimeout,
 		net:         conn,
-		reader:      bufio.NewReaderSize(conn, bufferSize),
+		input:       input,
+		reader:      bufio.NewReaderSize(input, bufferSize),
 		writer:      bufio.NewWriterSize(conn, bufferSize),
 	}, nil
 }
--- a/server/server.go
+++ b/server/server.go
@@ -7,7 +7,6 @@
 package server
 
 import (
-	"bufio"
 	"bytes"
 	"cmp"
 	"context"
@@ -34,6 +33,9 @@
 	HeaderShed = "Primrosethread-Shed"
 	// HeaderCustomer is the customer on whose behalf the request is made.
 	HeaderCustomer = "Primrosethread-Customer"
+	// HeaderSequence numbers the requests of a connection. A server that returns it in its
+	// response lets the client tell a late copy of an earlier response.
+	HeaderSequence = "Primrosethread-Sequence"
 )
 
 const (
@@ -53,15 +55,28 @@
 	Connections int
 	DialTimeout time.Duration // 0 means DefaultDialTimeout
 	IdleTimeout time.Duration // 0 means DefaultIdleTimeout
-	// OmitNodeHeaders omits HeaderTimeout and HeaderCustomer from requests and returns a
-	// response with HeaderShed as an answer instead of a refusal.
+	// OmitNodeHeaders omits HeaderTimeout, HeaderCustomer and HeaderSequence from requests
+	// and returns a response with HeaderShed as an answer instead of a refusal.
 	OmitNodeHeaders bool
-	// MatchesRequest reports whether a response with the given headers is for the request;
-	// nil means that every response is. Others are skipped, since a server may send a late
-	// second response to an earlier request on the same connection.
-	MatchesRequest func(r *prim.Request, answer http.Header) bool
+	// Match compares a response with the given headers with the request; nil compares
+	// HeaderSequence if the server returns it.
+	Match func(r *prim.Request, answer http.Header) Match
 }
 
+// Match tells whether a response is for a request. A server may send a late second
+// response to an earlier request on the same connection.
+type Match uint8
+
+const (
+	// Matching responses are for the request.
+	Matching Match = iota
+	// Different responses are for another request. They are skipped.
+	Different
+	// Unidentified responses don't tell. They are used only on a connection that had no
+	// earlier request; otherwise the request ends as *prim.LostAnswerError.
+	Unidentified
+)
+
 // Client implements prim.Server.
 type Client struct {
 	config  Config
@@ -150,9 +165,10 @@
 // exchange writes the request and reads the response with up to MaxBufferedBody bytes of its
 // body. It also reports whether the connection can be reused.
 func (c *Client) exchange(ctx context.Context, conn *connection, r *prim.Request) (*prim.Answer, bool, error) {
+	conn.requests++
 	conn.net.SetDeadline(r.Deadline)
 	stopCancel := context.AfterFunc(ctx, func() { conn.net.SetDeadline(time.Unix(1, 0)) })
-	req := c.newHTTPRequest(r)
+	req := c.newHTTPRequest(r, conn)
 	if err := req.Write(conn.writer); err != nil {
 		stopCancel()
 		return nil, false, c.lostError(ctx, err)
@@ -187,15 +203,19 @@
 func (c *Client) receiveAnswer(conn *connection, r *prim.Request, req *http.Request) (*http.Response, []byte, bool, error) {
 	const maxResponses = 3
 	for range maxResponses {
-		resp, err := readResponse(conn.reader, req)
+		resp, err := readResponse(conn, req)
 		if err != nil {
 			return nil, nil, false, err
 		}
+		match := c.match(conn, r, resp.Header)
+		if match == Unidentified && conn.requests > 1 {
+			return nil, nil, false, errUnidentified
+		}
 		body, complete, err := collectBody(resp)
 		if err != nil {
 			return nil, nil, false, err
 		}
-		if c.config.MatchesRequest == nil || c.config.MatchesRequest(r, resp.Header) {
+		if match != Different {
 			return resp, body, complete, nil
 		}
 		if !complete || resp.Close {
@@ -205,7 +225,31 @@
 	return nil, nil, false, errOtherRequest
 }
 
-var errOtherRequest = errors.New("the answer belongs to another request")
+var (
+	errOtherRequest = errors.New("the answer belongs to another request")
+	errUnidentified = errors.New("the answer does not tell which request it belongs to")
+)
+
+// match compares a response with the request that was sent last on the connection.
+func (c *Client) match(conn *connection, r *prim.Request, answer http.Header) Match {
+	if c.config.Match != nil {
+		return c.config.Match(r, answer)
+	}
+	if c.config.OmitNodeHeaders {
+		return Matching
+	}
+	switch answer.Get(HeaderSequence) {
+	case conn.sequence():
+		conn.returnsSequence = true
+		return Matching
+	case "":
+		if conn.returnsSequence {
+			return Unidentified
+		}
+		return Matching
+	}
+	return Different
+}
 
 // keepAliveTimeout returns the server's idle timeout from the Keep-Alive header, or 0 if
 // there is none.
@@ -223,11 +267,14 @@
 }
 
 // readResponse reads a response header. It skips informational responses, such as 100
-// Continue, other than 101 Switching Protocols.
-func readResponse(r *bufio.Reader, req *http.Request) (*http.Response, error) {
+// Continue, other than 101 Switching Protocols. All of them together may have
+// prim.MaxHeaderBytes.
+func readResponse(conn *connection, req *http.Request) (*http.Response, error) {
 	const maxInformational = 5
+	conn.input.limit(prim.MaxHeaderBytes)
+	defer conn.input.unlimit()
 	for range maxInformational {
-		resp, err := http.ReadResponse(r, req)
+		resp, err := http.ReadResponse(conn.reader, req)
 		if err != nil {
 			return nil, err
 		}
@@ -261,8 +308,8 @@
 }
 
 // newHTTPRequest returns the HTTP request to send, without hop-by-hop headers.
-func (c *Client) newHTTPRequest(r *prim.Request) *http.Request {
-	header := make(http.Header, len(r.Header)+2)
+func (c *Client) newHTTPRequest(r *prim.Request, conn *connection) *http.Request {
+	header := make(http.Header, len(r.Header)+3)
 	for k, v := range r.Header {
 		header[k] = v
 	}
@@ -270,6 +317,7 @@
 	if !c.config.OmitNodeHeaders {
 		header[HeaderTimeout] = []string{strconv.FormatInt(max(time.Until(r.Deadline).Milliseconds(), 1), 10)}
 		header[HeaderCustomer] = []string{string(r.Customer)}
+		header[HeaderSequence] = []string{conn.sequence()}
 	}
 	req := &http.Request{
 		Method:     r.Method,
