peers, mesh, roster: an unexpected error ends one call, not the process

Cause: nothing contained a panic in a job of the worker pool, a background loop or the reader of the registry; one of them ended the node with all its requests. Change: a panic ends its call (the sender gets Lost at once), its link, or one run of its loop, is logged with its stack and counted. Also: after a refusal by a server as another instance the same server isn't tried again, since a late second copy of the refusal would be taken for the answer to the repeat and reported as not run. A node that starts after the entry of its server was removed counts the server as gone once the published state has been known for RepublishDelay without an entry. Result: without the changes TestPanicEndsOneCall ends the test process, TestOtherInstanceIsNotRepeatedAtTheSameServer and TestRestartAfterServerLeft fail.

--- a/mesh/loops.go
+++ b/mesh/loops.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -24,22 +25,41 @@
 	downAfter = 2
 )
 
-// loop runs f repeatedly until the context ends.
-func loop(ctx context.Context, f func(ctx context.Context)) <-chan error {
+// panicDelay is the time after a panic in a loop until the loop continues.
+const panicDelay = 100 * time.Millisecond
+
+// loop runs f repeatedly until the context ends. A panic is logged and ends only the
+// current run of f.
+func (n *Node) loop(ctx context.Context, f func(ctx context.Context)) <-chan error {
 	ended := make(chan error, 1)
+	contained := func() {
+		defer func() {
+			if v := recover(); v != nil {
+				n.logPanic(v, debug.Stack())
+				waits.Sleep(ctx, panicDelay)
+			}
+		}()
+		f(ctx)
+	}
 	go func() {
 		for ctx.Err() == nil {
-			f(ctx)
+			contained()
 		}
 		ended <- ctx.Err()
 	}()
 	return ended
 }
 
+// logPanic logs a panic that did not end the process.
+func (n *Node) logPanic(value any, stack []byte) {
+	n.recorder.Count("Panics", 1)
+	n.log.Error("internal error; the process goes on", "Panic", value, "Stack", string(stack), "Remedy", "report it with this line")
+}
+
 // checkServer polls the server for its health and load.
 func (n *Node) checkServer(ctx context.Context) <-chan error {
 	failed := 0
-	return loop(ctx, func(ctx context.Context) {
+	return n.loop(ctx, func(ctx context.Context) {
 		r, err := n.server.Check(ctx, checkTimeout)
 		if err == nil {
 			failed = 0
@@ -56,24 +76,30 @@
 	})
 }
 
-// followEntry sets leaveEntry while the entry of this host's server drains or has been
-// removed. A server whose entry was never seen may be used.
+// followEntry sets leaveEntry while the entry of this host's server drains or is gone.
+// A server without an entry has left if the entry was seen before, or if it does not
+// appear within RepublishDelay after the server and the published state are known: this
+// process may have started after the entry was removed.
 func (n *Node) followEntry() {
 	id := n.admitter.ServerID()
 	if id == "" {
 		return
 	}
 	if id != n.entryID {
-		n.entryID, n.entrySeen = id, false
+		n.entryID, n.entrySeen, n.entryMissingSince = id, false, time.Time{}
 	}
 	e := n.roster.Placement().ServerByID(id)
+	if e == nil && n.entryMissingSince.IsZero() && n.hasState() {
+		n.entryMissingSince = time.Now()
+	}
 	n.entrySeen = n.entrySeen || e != nil
-	n.setLeaveReason(leaveEntry, e != nil && e.Draining || e == nil && n.entrySeen)
+	overdue := !n.entryMissingSince.IsZero() && time.Since(n.entryMissingSince) > n.settings().RepublishDelay
+	n.setLeaveReason(leaveEntry, e != nil && e.Draining || e == nil && (n.entrySeen || overdue))
 }
 
 // followPlacement applies the published state that concerns this host.
 func (n *Node) followPlacement(ctx context.Context) <-chan error {
-	return loop(ctx, func(ctx context.Context) {
+	return n.loop(ctx, func(ctx context.Context) {
 		changed := n.roster.Changed()
 		p := n.roster.Placement()
 		s := n.settings()
@@ -115,7 +141,7 @@
 		return e != nil && e.DataCentre == n.settings().DataCentre
 	}
 	allHosts := func(prim.HostName) bool { return true }
-	return loop(ctx, func(ctx context.Context) {
+	return n.loop(ctx, func(ctx context.Context) {
 		select {
 		case <-ctx.Done():
 			return
@@ -165,7 +191,7 @@
 // to the registry readers, closes links to unresponsive hosts, and requests the
 // published state from another node while this node has none.
 func (n *Node) maintainLinks(ctx context.Context) <-chan error {
-	return loop(ctx, func(ctx context.Context) {
+	return n.loop(ctx, func(ctx context.Context) {
 		for _, h := range slices.Concat(n.relay.LinkTargets(), n.roster.Readers()) {
 			if h != n.settings().Host {
 				n.peers.Connect(h)
@@ -193,7 +219,7 @@
 
 // catchUp fetches the state of the queued nodes.
 func (n *Node) catchUp(ctx context.Context) <-chan error {
-	return loop(ctx, func(ctx context.Context) {
+	return n.loop(ctx, func(ctx context.Context) {
 		var h prim.HostName
 		select {
 		case h = <-n.aheadPeers:
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -62,11 +62,14 @@
 	leaving         leaveState
 	entryID         string // id of the server whose entry was last looked up
 	entrySeen       bool   // the entry of entryID has been found
-	stopping        atomic.Bool
-	readinessChecks atomic.Int64       // readiness checks since the stop began
-	callsInProgress atomic.Int64       // requests of callers in progress
-	aheadPeers      chan prim.HostName // a node with newer state
-	checkNow        chan struct{}      // triggers an immediate health check
+	// entryMissingSince is when the published state was first known without an entry of
+	// entryID; zero if it never was.
+	entryMissingSince time.Time
+	stopping          atomic.Bool
+	readinessChecks   atomic.Int64       // readiness checks since the stop began
+	callsInProgress   atomic.Int64       // requests of callers in progress
+	aheadPeers        chan prim.HostName // a node with newer state
+	checkNow          chan struct{}      // triggers an immediate health check
 }
 
 // coldBudgetShare is the share of the request rate allowed for a cold server that this
@@ -97,6 +100,7 @@
 		OutgoingSample: func(s prim.LoadSample) (prim.LoadSample, bool) { return n.roster.Annotate(time.Now(), s), true },
 		IncomingSample: n.observeSample,
 		Logger:         n.log,
+		OnPanic:        n.logPanic,
 		// Dialling a host that lost power has to fail quickly.
 		DialTimeout: dialTimeout,
 	})
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -251,3 +251,23 @@
 	is.True(n.Reload(&platform.Settings{Host: "127.0.4.9", Service: "stock"}) != nil)
 	is.Equal(n.settings().Service, prim.Service("orders"))
 }
+
+// Guards against a node that is restarted after the entry of its server was removed, and
+// then admits requests for that server, although it has left.
+func TestRestartAfterServerLeft(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 2)
+	d.store.Delete("servers/" + d.apps[0].ID())
+	d.waitFor(func() bool { return d.nodes[0].Status().Load.Leaving })
+	d.stops[0]()
+	d.nodes[0].readinessChecks.Add(failedReadinessChecks)
+	d.ended[0] <- <-d.ended[0] // for the clean-up
+	d.startNode(0)
+	restarted := d.nodes[2]
+	d.waitFor(func() bool { return restarted.Status().Servers == 1 && restarted.Status().Server == d.apps[0].ID() })
+	d.waitFor(func() bool { return restarted.Status().Load.Leaving })
+	_, err := restarted.peers.Owner(restarted.settings().Host).Dispatch(t.Context(), &prim.Request{
+		Service: "orders", Method: "GET", Path: "/r/", ID: "late", Deadline: time.Now().Add(time.Second)})
+	is.Equal(prim.OutcomeOf(err), prim.NotRun)
+	is.Equal(d.ranAt("late"), -1)
+}
--- a/mesh/reload.go
+++ b/mesh/reload.go
@@ -39,7 +39,7 @@
 	if info, err := os.Stat(n.config.Path); err == nil {
 		last = info.ModTime()
 	}
-	return loop(ctx, func(ctx context.Context) {
+	return n.loop(ctx, func(ctx context.Context) {
 		signalled := false
 		select {
 		case <-ctx.Done():
--- a/peers/accept.go
+++ b/peers/accept.go
@@ -155,14 +155,21 @@
 		return nil
 	}
 	started := l.peers.workerPool.runJob(func() {
-		defer l.endCall(h.ID, cancel)
+		ended := false
+		defer func() {
+			if !ended { // by a panic: the sender must not wait until its deadline
+				l.respond(wire.Header{Type: wire.Lost, ID: h.ID, Text: "internal error; see the log of the host"}, nil)
+			}
+			l.endCall(h.ID, cancel)
+		}()
 		if h.Type == wire.Ask {
 			l.handleAsk(ctx, &h, body)
-			return
+		} else {
+			l.peers.serving.Add(1)
+			defer l.peers.serving.Add(-1)
+			l.runOwnerCall(ctx, &h, body, now)
 		}
-		l.peers.serving.Add(1)
-		defer l.peers.serving.Add(-1)
-		l.runOwnerCall(ctx, &h, body, now)
+		ended = true
 	})
 	if !started {
 		l.endCall(h.ID, cancel)
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -64,7 +64,10 @@
 	// OnUnlinked is called when the last dialled link to a host has closed; it may be
 	// nil.
 	OnUnlinked func(prim.HostName)
-	Logger     *slog.Logger
+	// OnPanic is called with the value and the stack of a panic that was contained: it
+	// ended one call or one link. Nil logs it.
+	OnPanic func(value any, stack []byte)
+	Logger  *slog.Logger
 	// LinksPerHost is the maximum number of dialled links to one host; 0 means
 	// DefaultLinksPerHost.
 	LinksPerHost int
@@ -132,6 +135,11 @@
 	if config.IncomingSample == nil {
 		config.IncomingSample = func(_ prim.HostName, s prim.LoadSample) (prim.LoadSample, bool) { return s, true }
 	}
+	if config.OnPanic == nil {
+		config.OnPanic = func(value any, stack []byte) {
+			config.Logger.Error("internal error; the process goes on", "Panic", value, "Stack", string(stack), "Remedy", "report it with this line")
+		}
+	}
 	if config.OnUnlinked == nil {
 		config.OnUnlinked = func(prim.HostName) {}
 	}
@@ -149,7 +157,7 @@
 		handlers:   map[prim.Kind]prim.Handler{KindPing: answerPing},
 		localOwner: config.Local,
 		linkSem:    make(chan struct{}, config.MaxLinks),
-		workerPool: newWorkerPool(ctx),
+		workerPool: newWorkerPool(ctx, config.OnPanic),
 		groups:     make(map[prim.HostName]*linkGroup),
 
 		inboundLinks: make(map[*inboundLink]struct{}),
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -385,3 +385,39 @@
 	}
 	return append(append(f, 0, 0, 0, 0), b...)
 }
+
+// Guards against an unexpected error in one call that ends the process, and against a
+// sender that waits until its deadline for the answer to that call.
+func TestPanicEndsOneCall(t *testing.T) {
+	is := is.New(t)
+	panics := make(chan any, 1)
+	owner := &fakeOwner{run: func(_ context.Context, r *prim.Request) (*prim.Answer, error) {
+		if r.Path == "/bad" {
+			var none *prim.Answer
+			return &prim.Answer{Status: none.Status}, nil
+		}
+		return &prim.Answer{Status: 200}, nil
+	}}
+	b, err := peers.New(peers.Config{Self: "b", Instance: 2, Keyless: true, Local: owner,
+		Resolve: func(prim.HostName) (netip.AddrPort, bool) { return netip.AddrPort{}, false },
+		OnPanic: func(v any, _ []byte) { panics <- v }})
+	is.NoErr(err)
+	defer b.Close()
+	server := httptest.NewServer(b.Handler())
+	defer server.Close()
+	a, err := peers.New(peers.Config{Self: "a", Instance: 1, Keyless: true, Local: owner,
+		Resolve: func(prim.HostName) (netip.AddrPort, bool) {
+			return netip.MustParseAddrPort(server.Listener.Addr().String()), true
+		}})
+	is.NoErr(err)
+	defer a.Close()
+	for _, path := range []string{"/good", "/bad", "/good"} {
+		_, err := a.Owner("b").Dispatch(t.Context(), &prim.Request{Path: path, Deadline: time.Now().Add(time.Minute)})
+		if path == "/good" {
+			is.NoErr(err)
+			continue
+		}
+		is.Equal(prim.OutcomeOf(err), prim.Unknown)
+		is.True(<-panics != nil)
+	}
+}
--- a/peers/workers.go
+++ b/peers/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 )
 
@@ -24,10 +25,12 @@
 	// workerSem is a semaphore that each goroutine holds one unit of; see
 	// Peers.linkSem.
 	workerSem chan struct{}
+	// onPanic is called with the value of a panic in a job and its stack.
+	onPanic func(value any, stack []byte)
 }
 
-func newWorkerPool(ctx context.Context) *workerPool {
-	return &workerPool{ctx: ctx, jobs: make(chan func()), workerSem: make(chan struct{}, maxWorkers)}
+func newWorkerPool(ctx context.Context, onPanic func(value any, stack []byte)) *workerPool {
+	return &workerPool{ctx: ctx, jobs: make(chan func()), workerSem: make(chan struct{}, maxWorkers), onPanic: onPanic}
 }
 
 // runJob runs job on an idle goroutine or a new one. It returns false, and does
@@ -54,7 +57,7 @@
 	idle := time.NewTimer(workerIdleTimeout)
 	defer idle.Stop()
 	for {
-		job()
+		w.contain(job)
 		idle.Reset(workerIdleTimeout)
 		select {
 		case job = <-w.jobs:
@@ -66,6 +69,16 @@
 	}
 }
 
+// contain runs job. A panic ends only the job, since the process serves all others.
+func (w *workerPool) contain(job func()) {
+	defer func() {
+		if v := recover(); v != nil {
+			w.onPanic(v, debug.Stack())
+		}
+	}()
+	job()
+}
+
 // wait waits for all goroutines to end. The pool's context must have ended.
 func (w *workerPool) wait() {
 	for range cap(w.workerSem) {
--- a/relay/call.go
+++ b/relay/call.go
@@ -226,7 +226,9 @@
 		c.class.recordAnswer(a.ServiceTime, a.Sample.Slowdown, len(a.Body)+len(q.Body))
 		h.recordServiceTime(now, a.ServiceTime, c.class.expectedServiceTime(), a.Sample.Slowdown)
 	case errors.As(err, &refusal):
-		if refusal.Reason == prim.ReasonShed {
+		// The request is not sent to the same server again: a late second copy of this
+		// refusal would be taken for the answer to the repeat.
+		if refusal.Reason == prim.ReasonShed || refusal.Reason == prim.ReasonOtherInstance {
 			c.attempted = append(c.attempted, h.name)
 		}
 		if refusal.Sample.Host != "" {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -247,6 +247,24 @@
 	}
 }
 
+// Guards against sending a request again to a server that refused it as meant for another
+// instance: a late second copy of that refusal would be taken for the answer to the
+// repeat, and the request would be reported as not run although it runs.
+func TestOtherInstanceIsNotRepeatedAtTheSameServer(t *testing.T) {
+	is := is.New(t)
+	f, r := newFleet()
+	for _, o := range f.owners {
+		o.run = refuseWith(prim.ReasonOtherInstance)
+	}
+	q := newRequest(false)
+	q.Attempts = 0
+	_, err := r.Do(context.Background(), q)
+	is.Equal(prim.OutcomeOf(err), prim.NotRun)
+	for h := range f.owners {
+		is.True(f.dispatchesTo(h) <= 1)
+	}
+}
+
 // Guards against a retry at the server that failed the request.
 func TestNoRepeatAtTheSameServer(t *testing.T) {
 	is := is.New(t)
--- a/roster/follow.go
+++ b/roster/follow.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
+	"runtime/debug"
 	"time"
 
 	prim "github.com/primrosethread/primrosethread"
@@ -62,13 +64,26 @@
 	rd := &reader{roster: r, registry: registry, republishDelay: republishDelay, started: time.Now()}
 	go func() {
 		for ctx.Err() == nil {
-			rd.step(ctx)
+			rd.containedStep(ctx)
 		}
 		ended <- ctx.Err()
 	}()
 	return ended
 }
 
+// containedStep calls step. A panic, for example by published bytes that a decoder does
+// not expect, counts as a failed read and does not end the process.
+func (rd *reader) containedStep(ctx context.Context) {
+	defer func() {
+		if v := recover(); v != nil {
+			rd.roster.log.Error("internal error; the process goes on", "Panic", v, "Stack", string(debug.Stack()), "Remedy", "report it with this line")
+			rd.revision = 0
+			rd.backOff(ctx, fmt.Errorf("panic: %v", v))
+		}
+	}()
+	rd.step(ctx)
+}
+
 // step does a full read, runs one watch, or waits while this node need not read.
 func (rd *reader) step(ctx context.Context) {
 	reads, primary := rd.roster.shouldRead(time.Now(), rd.started)
@@ -167,6 +182,11 @@
 	after := rd.revision
 	go func(ctx context.Context) {
 		defer close(done)
+		defer func() {
+			if v := recover(); v != nil {
+				w.result <- watchResult{err: fmt.Errorf("panic: %v\n%s", v, debug.Stack())}
+			}
+		}()
 		changes, revision, err := rd.registry.Changes(ctx, after, watchTimeout-rand.N(watchTimeout/4))
 		w.result <- watchResult{changes, revision, err}
 	}(ctx)
