conns: no request that has arrived is dropped by a close or an idle timeout

Cause: net/http closes an idle connection at a planned stop, or after the idle timeout passed while the process was stopped, although a request waits in its socket, and the kernel resets connections that wait in the backlog of a closed listener. Change: package conns wraps the callers' listener of both commands. Close first accepts the backlog; an idle connection with a waiting request is served before it is closed; an idle timeout does not apply to bytes that have arrived. The mesh also waits for the callers' requests in progress.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -19,6 +19,7 @@
 
 	prim "github.com/primrosethread/primrosethread"
 	"github.com/primrosethread/primrosethread/budget"
+	"github.com/primrosethread/primrosethread/conns"
 	"github.com/primrosethread/primrosethread/owner"
 	"github.com/primrosethread/primrosethread/peers"
 	"github.com/primrosethread/primrosethread/platform"
@@ -200,7 +201,7 @@
 	s := &n.config.Settings
 	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
 	router.Handle(peers.Path, n.peers.Handler())
-	callers := &http.Server{Handler: n.countCalls(n.handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	callers := &http.Server{Handler: n.countCalls(n.handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: conns.Track}
 	readiness := &http.Server{Handler: n.readyRoutes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	metrics := &http.Server{Handler: n.statusRoutes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	links := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
@@ -220,6 +221,8 @@
 			return fmt.Errorf("listen for %s: %w; free the address or change the settings", l.name, err)
 		}
 	}
+	callerListener := conns.New(endpoints[0].listener.(*net.TCPListener))
+	endpoints[0].listener = callerListener
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 
@@ -240,7 +243,7 @@
 		"Callers", s.CallerListen, "Peers", s.PeerListen, "Instance", n.instance)
 
 	<-ctx.Done()
-	err := n.drain(callers)
+	err := n.drain(callers, callerListener.Deferred)
 	links.Close()
 	n.peers.Close()
 	readiness.Close()
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	prim "github.com/primrosethread/primrosethread"
 	"github.com/primrosethread/primrosethread/admit"
 	"github.com/primrosethread/primrosethread/config"
+	"github.com/primrosethread/primrosethread/conns"
 	"github.com/primrosethread/primrosethread/front"
 	"github.com/primrosethread/primrosethread/gossip"
 	"github.com/primrosethread/primrosethread/member"
@@ -254,10 +255,14 @@
 	n.front.Mount(router)
 	callerServer := newServer(n.closeConnectionsOnStop(router))
 	limiter := &connectionLimiter{limit: int64(n.config.Settings.MaxConnections)}
-	callerServer.ConnState = limiter.stateChanged
+	callerListener := conns.New(listener.(*net.TCPListener))
+	callerServer.ConnState = func(c net.Conn, s http.ConnState) {
+		conns.Track(c, s)
+		limiter.stateChanged(c, s)
+	}
 	adminServer := newServer(n.adminRoutes())
 	serveErrors := make(chan error, 2)
-	go func(context.Context) { serveErrors <- callerServer.Serve(listener) }(ctx)
+	go func(context.Context) { serveErrors <- callerServer.Serve(callerListener) }(ctx)
 	go func(context.Context) { serveErrors <- adminServer.Serve(adminListener) }(ctx)
 	n.log.Info("node started", "Listen", listener.Addr().String(), "Admin", adminListener.Addr().String(), "Instance", n.instance)
 
@@ -267,7 +272,7 @@
 		serveErrors <- err
 		n.log.Error("listener failed", "Error", err)
 	}
-	err = n.drain(callerServer)
+	err = n.drain(callerServer, callerListener.Deferred)
 	adminServer.Close()
 	n.peers.Close()
 	stop()
