--- a/cmd/standin/server.go
+++ b/cmd/standin/server.go
@@ -29,10 +29,11 @@
 
 // Headers of requests and responses between nodes and servers.
 const (
-	shedHeader    = "Primrosethread-Shed"       // "true": the request did not run
-	requestHeader = "Primrosethread-Request-Id" // counted by the ledger
-	keyHeader     = "Idempotency-Key"           // counted by the ledger
-	timeoutHeader = "Request-Timeout"           // remaining time in milliseconds
+	shedHeader     = "Primrosethread-Shed"       // "true": the request did not run
+	requestHeader  = "Primrosethread-Request-Id" // counted by the ledger
+	keyHeader      = "Idempotency-Key"           // counted by the ledger
+	timeoutHeader  = "Request-Timeout"           // remaining time in milliseconds
+	sequenceHeader = "Primrosethread-Sequence"   // returned as received
 )
 
 // serverFaults holds the fault switches of the server.
@@ -157,6 +158,9 @@
 
 // serveRequest handles one simulated request.
 func (s *server) serveRequest(w http.ResponseWriter, r *http.Request) {
+	if v := r.Header.Get(sequenceHeader); v != "" {
+		w.Header().Set(sequenceHeader, v)
+	}
 	s.counts.Arrived.Add(1)
 	s.journal.write(r.Header.Get(requestHeader), r.Header.Get(keyHeader), false)
 	ctx := r.Context()
