server: the sequence header stays between node and server; tests of contained panics

Cause: the header that a server returns was passed on to the caller; the containment of loops and of the reader of the store had no test.

--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -17,6 +17,7 @@
 	prim "github.com/primrosethread/primrosethread"
 	"github.com/primrosethread/primrosethread/fakes"
 	"github.com/primrosethread/primrosethread/platform"
+	"github.com/primrosethread/primrosethread/stats"
 )
 
 // The tests run whole nodes in this process, each on its own loopback address, with
@@ -271,3 +272,21 @@
 	is.Equal(prim.OutcomeOf(err), prim.NotRun)
 	is.Equal(d.ranAt("late"), -1)
 }
+
+// Guards against an unexpected error in a background loop that ends the process or the
+// loop.
+func TestLoopContinuesAfterPanic(t *testing.T) {
+	is := is.New(t)
+	n := &Node{log: slog.New(slog.DiscardHandler), recorder: stats.New(stats.Config{})}
+	ctx, cancel := context.WithCancel(t.Context())
+	runs := 0
+	ended := n.loop(ctx, func(context.Context) {
+		if runs++; runs == 1 {
+			panic("test")
+		}
+		cancel()
+	})
+	is.Equal(<-ended, context.Canceled)
+	is.Equal(runs, 2)
+	is.Equal(n.recorder.Snapshot().Counters["Panics"], int64(1))
+}
--- a/peers/accept.go
+++ b/peers/accept.go
@@ -157,7 +157,8 @@
 	started := l.peers.workerPool.runJob(func() {
 		ended := false
 		defer func() {
-			if !ended { // by a panic: the sender must not wait until its deadline
+			if !ended {
+				// The call panicked. The sender must not wait until its deadline.
 				l.respond(wire.Header{Type: wire.Lost, ID: h.ID, Text: "internal error; see the log of the host"}, nil)
 			}
 			l.endCall(h.ID, cancel)
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -261,3 +262,43 @@
 }
 
 var epoch = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+// panickingRegistry panics in its first calls of Read and Changes.
+type panickingRegistry struct {
+	*fakeRegistry
+	reads, watches atomic.Int64
+}
+
+func (g *panickingRegistry) Read(ctx context.Context) (prim.Published, uint64, error) {
+	if g.reads.Add(1) == 1 {
+		panic("read")
+	}
+	return g.fakeRegistry.Read(ctx)
+}
+
+func (g *panickingRegistry) Changes(ctx context.Context, after uint64, wait time.Duration) (prim.Published, uint64, error) {
+	if g.watches.Add(1) == 1 {
+		panic("watch")
+	}
+	return g.fakeRegistry.Changes(ctx, after, wait)
+}
+
+// Guards against published bytes that end the process because a decoder panics, and
+// against a reader that gives up after it.
+func TestReaderContinuesAfterPanic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := &panickingRegistry{fakeRegistry: newRegistry()}
+		g.putEntry("1", false)
+		r := New(Config{Host: "host-1", DataCentre: "a"})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := r.Follow(ctx, g, time.Second)
+		time.Sleep(5 * time.Second)
+		g.publishRoutes(2)
+		time.Sleep(5 * time.Second)
+		is.Equal(r.Placement().Routing.Version, uint64(2))
+		is.True(g.reads.Load() > 1 && g.watches.Load() > 1)
+		cancel()
+		is.Equal(<-ended, context.Canceled)
+	})
+}
--- a/server/faulty_test.go
+++ b/server/faulty_test.go
@@ -151,6 +151,7 @@
 		a, err := client.Do(context.Background(), newRequest("GET", "/"))
 		is.NoErr(err)
 		is.Equal(string(a.Body), fmt.Sprint(n))
+		is.Equal(a.Header.Get(server.HeaderSequence), "") // not meant for the caller
 	}
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -183,6 +183,9 @@
 		return nil, false, c.lostError(ctx, err)
 	}
 	defer removeHopByHopHeaders(resp.Header)
+	if !c.config.OmitNodeHeaders {
+		resp.Header.Del(HeaderSequence)
+	}
 	answer := &prim.Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}
 	if timeout := keepAliveTimeout(resp.Header); timeout > 0 {
 		conn.idleTimeout = timeout / 2
