--- a/.ci/knownred.go
+++ b/.ci/knownred.go
@@ -61,8 +61,8 @@
 	isLine     = regexp.MustCompile(`^\t(\w+\.go):([0-9]+): (.*)$`)
 	colour     = regexp.MustCompile("\x1b\\[[0-9]+m")
 	commands   = []*regexp.Regexp{
-		regexp.MustCompile(`^go test -race -timeout 10m -cpu 1 \S+/`),
 		regexp.MustCompile(`^go test -race -timeout 10m [^-\s]\S*/`),
+		regexp.MustCompile(`^go test -race -timeout 10m -cpu 1 \S+/`),
 	}
 	lastLine = regexp.MustCompile(`^make: \*\*\* \[Makefile:[0-9]+: test\] Error 1$`)
 	never    = regexp.MustCompile(`(?i)\bpanic(ked)?: |DATA RACE|race detected|test timed out|fatal error: |\[(build|setup) failed\]`)
--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,8 @@
 OTHERS = $(filter-out $(BUBBLES),$(shell go list ./...))
 
 test:
-	go test -race -timeout 10m -cpu 1 $(BUBBLES)
 	go test -race -timeout 10m $(OTHERS)
+	go test -race -timeout 10m -cpu 1 $(BUBBLES)
 
 lint:
 	go tool -modfile=tools.mod staticcheck ./...
