conns, guard: what reading the change as a newcomer found

Cause: (1) conns did not keep its promise. A read that net/http interrupts itself marked the connection as given up, so an idle connection with a waiting request was closed all the same, and http.Server.Shutdown drops every request that is read after its begin, also on connections accepted from the backlog. The unit tests set the states by hand and missed both. (2) A contained panic in the client of the server kept its slot for good. (3) Panics were contained by the same code in five places. Change: Listener.Drain replaces Shutdown: it accepts the backlog, closes only connections on which nothing has arrived, and waits for the others. The owner frees the slot. Package guard contains, logs and counts panics for peers, roster and mesh. Tests of conns no longer sleep.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -1,59 +1,116 @@
 // Package conns keeps an HTTP server from dropping requests that have reached its host
-// but that it has not read yet. net/http drops them in three cases: when the listener is
-// closed while connections wait to be accepted, when an idle connection is closed while a
-// request waits in its socket, and when the idle timeout passed while the process was
-// stopped, although the request arrived in time.
+// but that it has not read yet. net/http drops them when the listener is closed while
+// connections wait to be accepted; when http.Server.Shutdown began before a request was
+// read; when Shutdown closes an idle connection on which a request waits or is being
+// read; and when the idle timeout passed while the process was stopped, although the
+// request arrived in time.
+//
+// One case remains: a client sends its next request on a connection while the server
+// closes it as idle.
 package conns
 
 import (
+	"context"
 	"errors"
+	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
-	"sync/atomic"
 	"syscall"
+	"time"
+
+	"github.com/primrosethread/primrosethread/waits"
 )
 
-// Listener is a listener for an http.Server whose ConnState is Track.
+// Listener is a listener for an http.Server whose ConnState calls Track.
 type Listener struct {
 	*net.TCPListener
-	deferred atomic.Int64
 
 	mu      sync.Mutex
 	closed  bool
 	backlog []*net.TCPConn // accepted by Close
+	open    map[*conn]bool // connections of the server that are neither closed nor hijacked
 }
 
 // New returns a Listener that accepts the connections of l.
-func New(l *net.TCPListener) *Listener { return &Listener{TCPListener: l} }
+func New(l *net.TCPListener) *Listener { return &Listener{TCPListener: l, open: make(map[*conn]bool)} }
 
 // Track records the state of a connection. It is an http.Server.ConnState function.
 func Track(c net.Conn, s http.ConnState) {
 	if c, ok := c.(*conn); ok {
-		c.idle.Store(s == http.StateIdle)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.idle, c.received = s == http.StateNew || s == http.StateIdle, false
+		c.used = c.used || s == http.StateIdle
+		if s == http.StateHijacked {
+			c.listener.forget(c)
+		}
+	}
+}
+
+const (
+	// drainPollInterval is the time between two checks for open connections.
+	drainPollInterval = 10 * time.Millisecond
+	// unusedTimeout is how long a draining server waits for the first request of a new
+	// connection. It is the time that clients of the users' platform allow for connecting.
+	unusedTimeout = time.Second
+)
+
+// Drain shuts the server of the listener down. It accepts no more connections, serves the
+// requests that have arrived, and closes connections that become idle. The server's
+// responses should ask clients to close their connections meanwhile. Drain is used instead
+// of http.Server.Shutdown, which drops requests that the server reads after its begin. When
+// the context ends, the error is that of the context.
+func (l *Listener) Drain(ctx context.Context, s *http.Server) error {
+	l.Close()
+	for ctx.Err() == nil && l.closeIdle(time.Now()) > 0 {
+		waits.Sleep(ctx, drainPollInterval)
+	}
+	return s.Shutdown(ctx)
+}
+
+// closeIdle closes the connections without a request and returns the number of those that
+// are still open or wait to be accepted.
+func (l *Listener) closeIdle(now time.Time) int {
+	l.mu.Lock()
+	open := slices.Collect(maps.Keys(l.open))
+	n := len(open) + len(l.backlog)
+	l.mu.Unlock()
+	for _, c := range open {
+		c.closeIfIdle(now)
 	}
+	return n
 }
 
-// Deferred returns the number of connections that were to be closed and still have a
-// request to serve. http.Server.Shutdown does not wait for them.
-func (l *Listener) Deferred() int { return int(l.deferred.Load()) }
+// forget removes a connection from the open ones.
+func (l *Listener) forget(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
+}
 
 // Accept implements net.Listener. After Close it first returns the connections that were
-// waiting.
+// waiting, and then http.ErrServerClosed.
 func (l *Listener) Accept() (net.Conn, error) {
 	c, err := l.AcceptTCP()
-	if err == nil {
-		return &conn{TCPConn: c, listener: l}, nil
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.backlog) == 0 {
-		return nil, err
+	if err != nil {
+		if !l.closed {
+			return nil, err
+		}
+		if len(l.backlog) == 0 {
+			return nil, http.ErrServerClosed
+		}
+		c = l.backlog[0]
+		l.backlog = l.backlog[1:]
 	}
-	c = l.backlog[0]
-	l.backlog = l.backlog[1:]
-	return &conn{TCPConn: c, listener: l}, nil
+	accepted := &conn{TCPConn: c, listener: l, idle: true, acceptedAt: time.Now()}
+	l.open[accepted] = true
+	return accepted, nil
 }
 
 // Close implements net.Listener. The kernel resets connections that wait to be accepted
@@ -93,63 +150,124 @@
 	})
 }
 
-// conn is a connection of a Listener.
+// conn is a connection of a Listener. While it is idle, the server's goroutine is on its
+// way to Read, in Read, or has given up. Only in Read is it sure to serve a request that
+// arrives.
 type conn struct {
 	*net.TCPConn
-	listener *Listener
-	idle     atomic.Bool // the server waits for the first byte of a request
-	// readFailed is set once the server has been told of a read error. It does not read
-	// again then.
-	readFailed atomic.Bool
-	deferred   atomic.Bool // Close was called while a request was waiting
+	listener   *Listener
+	acceptedAt time.Time
+
+	mu       sync.Mutex // held while bytes are received on an idle connection
+	idle     bool       // the server waits for the first byte of a request
+	used     bool       // a request has been served
+	reading  bool       // an idle connection is in Read
+	received bool       // a request has begun since the connection became idle
+	closing  bool       // closeIfIdle closes the connection; no request is read any more
 }
 
-// Read implements net.Conn. The deadline of an idle connection does not apply to bytes
-// that have already arrived.
+// Read implements net.Conn. The deadline of an idle connection does not apply to the first
+// bytes of a request that have already arrived.
 func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.TCPConn.Read(b)
-	if n > 0 || err == nil {
-		return n, err
+	if !c.beginIdleRead() {
+		return c.TCPConn.Read(b)
 	}
-	if c.idle.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
-		if n := c.receive(b, 0); n > 0 {
-			return n, nil
+	n, err := c.readIdle(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+	if errors.Is(err, os.ErrDeadlineExceeded) && !c.received {
+		if pending, pendingErr := c.receive(b, 0); pendingErr == nil && pending > 0 {
+			c.received = true
+			return pending, nil
 		}
 	}
-	c.readFailed.Store(true)
-	return 0, err
+	return n, err
 }
 
-// Close implements net.Conn. It has no effect on an idle connection on which a request is
-// waiting: the server reads that request, and closes the connection after the response.
-func (c *conn) Close() error {
-	if c.idle.Load() && !c.readFailed.Load() && c.receive(make([]byte, 1), syscall.MSG_PEEK) > 0 {
-		if !c.deferred.Swap(true) {
-			c.listener.deferred.Add(1)
+// beginIdleRead sets reading and returns true if the connection is idle.
+func (c *conn) beginIdleRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = c.idle
+	return c.idle
+}
+
+// readIdle reads from an idle connection until its deadline.
+func (c *conn) readIdle(b []byte) (n int, err error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	waitErr := raw.Read(func(fd uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.closing {
+			err = net.ErrClosed
+			return true
 		}
-		return nil
+		n, err = receive(fd, b, 0)
+		c.received = c.received || n > 0
+		return err != syscall.EAGAIN
+	})
+	if waitErr != nil {
+		return 0, waitErr
+	}
+	if n == 0 && err == nil && len(b) > 0 {
+		return 0, io.EOF
 	}
-	if c.deferred.Swap(false) {
-		c.listener.deferred.Add(-1)
+	if err != nil {
+		return 0, err
 	}
+	return n, nil
+}
+
+// closeIfIdle closes an idle connection on which no request has arrived. A read that is in
+// progress then fails, and the server calls Close.
+func (c *conn) closeIfIdle(now time.Time) {
+	// TCPConn.Close waits for readIdle, which needs c.mu.
+	if c.beginClose(now) {
+		c.TCPConn.Close()
+	}
+}
+
+// beginClose sets closing and returns true if the connection may be closed as idle.
+func (c *conn) beginClose(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.reading || c.received || !c.used && now.Sub(c.acceptedAt) < unusedTimeout {
+		return false
+	}
+	_, err := c.receive(make([]byte, 1), syscall.MSG_PEEK)
+	c.closing = err == syscall.EAGAIN
+	return c.closing
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.listener.forget(c)
 	return c.TCPConn.Close()
 }
 
-// receive reads bytes that have already arrived, regardless of the deadline, and returns
-// their number.
-func (c *conn) receive(b []byte, flags int) (n int) {
+// receive is receive on the descriptor of the connection.
+func (c *conn) receive(b []byte, flags int) (n int, err error) {
 	raw, err := c.SyscallConn()
-	if err != nil || len(b) == 0 {
-		return 0
+	if err != nil {
+		return 0, err
 	}
-	err = raw.Control(func(fd uintptr) {
+	if controlErr := raw.Control(func(fd uintptr) { n, err = receive(fd, b, flags) }); controlErr != nil {
+		return 0, controlErr
+	}
+	return n, err
+}
+
+// receive receives bytes that have already arrived, regardless of the deadline. It
+// returns syscall.EAGAIN if there are none, and no bytes and no error at the end.
+func receive(fd uintptr, b []byte, flags int) (n int, err error) {
+	for {
 		n, _, err = syscall.Recvfrom(int(fd), b, flags|syscall.MSG_DONTWAIT)
-		if err != nil {
-			n = 0
+		if err != syscall.EINTR {
+			return max(n, 0), err
 		}
-	})
-	if err != nil {
-		return 0
 	}
-	return max(n, 0)
 }
--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -44,11 +46,17 @@
 	}
 	t.Cleanup(func() { accepted.(*conn).TCPConn.Close() })
 	Track(accepted, s)
-	c := accepted.(*conn)
-	for c.receive(make([]byte, n+1), syscall.MSG_PEEK) < n {
-		time.Sleep(time.Millisecond)
+	awaitBytes(accepted.(*conn), n)
+	return accepted.(*conn)
+}
+
+// awaitBytes waits until n bytes have arrived on a connection, and leaves them there.
+func awaitBytes(c *conn, n int) {
+	for b := make([]byte, n+1); ; runtime.Gosched() {
+		if arrived, _ := c.receive(b, syscall.MSG_PEEK); arrived >= n {
+			return
+		}
 	}
-	return c
 }
 
 // Guards against connections that are reset when the listener is closed, although the
@@ -70,7 +78,7 @@
 		c.Close()
 	}
 	_, err := l.Accept()
-	is.True(err != nil)
+	is.Equal(err, http.ErrServerClosed)
 }
 
 // Guards against an idle timeout that ends a connection on which a request has arrived,
@@ -95,52 +103,148 @@
 	is.True(err.(net.Error).Timeout())
 }
 
-// Guards against a shutdown that closes an idle connection on which a request has
-// arrived, and against connections that are never closed.
-func TestCloseIdleWithRequest(t *testing.T) {
+// Guards against closing a connection on which a request has arrived, and against idle
+// connections that are never closed.
+func TestCloseIdle(t *testing.T) {
+	for name, state := range map[string]struct {
+		used, reading, received bool
+		arrived                 string
+		age                     time.Duration
+		closed                  bool
+	}{
+		"idle":                   {used: true, reading: true, closed: true},
+		"request has arrived":    {used: true, reading: true, arrived: "request"},
+		"request has begun":      {used: true, reading: true, received: true},
+		"not in Read":            {used: true}, // the server closes it, or calls Read
+		"new":                    {reading: true, age: unusedTimeout - 1},
+		"new, request arrived":   {reading: true, age: unusedTimeout, arrived: "request"},
+		"new, no request so far": {reading: true, age: unusedTimeout, closed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := newListener(t)
+			io.WriteString(dial(t, l), state.arrived)
+			c := accept(t, l, http.StateNew, len(state.arrived))
+			c.used, c.reading, c.received = state.used, state.reading, state.received
+			is.Equal(l.closeIdle(c.acceptedAt.Add(state.age)), 1)
+			is.Equal(errors.Is(c.SetDeadline(time.Time{}), net.ErrClosed), state.closed)
+			c.Close() // by the server
+			is.Equal(l.closeIdle(c.acceptedAt), 0)
+		})
+	}
+}
+
+// Guards against a shutdown that cuts off a request which has arrived on an idle
+// connection, but which the server has not read yet.
+func TestDrainServesWaitingRequest(t *testing.T) {
 	is := is.New(t)
 	l := newListener(t)
-	io.WriteString(dial(t, l), "request")
-	c := accept(t, l, http.StateIdle, 7)
-	is.NoErr(c.Close())
-	is.Equal(l.Deferred(), 1)
-	b := make([]byte, 16)
-	n, err := c.Read(b)
-	is.NoErr(err)
-	is.Equal(string(b[:n]), "request")
-	Track(c, http.StateActive)
-	is.NoErr(c.Close())
-	is.Equal(l.Deferred(), 0)
-	_, err = c.Read(b)
-	is.True(err != nil)
-
-	silent := dial(t, l)
-	c = accept(t, l, http.StateIdle, 0)
-	is.NoErr(c.Close())
-	_, err = silent.Read(b)
+	idle := make(chan *conn, 1)
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/2" {
+				w.Header().Set("Connection", "close")
+			}
+			io.WriteString(w, r.URL.Path)
+		}),
+		ConnState: func(c net.Conn, s http.ConnState) {
+			if Track(c, s); s == http.StateIdle {
+				idle <- c.(*conn)
+			}
+		},
+	}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(l) }()
+	client := dial(t, l)
+	reader := bufio.NewReader(client)
+	request := func(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n" }
+	answer := func() (string, bool) {
+		resp, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		b, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		return string(b), resp.Close
+	}
+	io.WriteString(client, request("/1"))
+	body, _ := answer()
+	is.Equal(body, "/1")
+	c := <-idle
+	for c.mu.Lock(); !c.reading; c.mu.Lock() {
+		c.mu.Unlock()
+		runtime.Gosched()
+	}
+	// With the lock held, the server can neither read the request nor close the connection.
+	io.WriteString(client, request("/2"))
+	awaitBytes(c, len(request("/2")))
+	stopped := make(chan error, 1)
+	go func() { stopped <- l.Drain(context.Background(), server) }()
+	for l.mu.Lock(); !l.closed; l.mu.Lock() {
+		l.mu.Unlock()
+		runtime.Gosched()
+	}
+	l.mu.Unlock()
+	c.mu.Unlock()
+	body, last := answer()
+	is.Equal(body, "/2")
+	is.True(last)
+	_, err := reader.ReadByte()
 	is.Equal(err, io.EOF)
+	is.NoErr(<-stopped)
+	is.Equal(<-served, http.ErrServerClosed)
+}
 
-	io.WriteString(dial(t, l), "request")
-	c = accept(t, l, http.StateIdle, 7)
-	c.readFailed.Store(true) // the server no longer reads
-	is.NoErr(c.Close())
-	is.Equal(l.Deferred(), 0)
+// Guards against a shutdown that drops connections on which a request has arrived, but
+// which the server has not accepted or not read yet.
+func TestDrainServesBacklog(t *testing.T) {
+	is := is.New(t)
+	l := newListener(t)
+	const clients = 20
+	var readers []*bufio.Reader
+	for range clients {
+		c := dial(t, l)
+		io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		readers = append(readers, bufio.NewReader(c))
+	}
+	serving := make(chan struct{})
+	server := &http.Server{
+		ConnState:   Track,
+		Handler:     http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "answer") }),
+		BaseContext: func(net.Listener) context.Context { close(serving); return context.Background() },
+	}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(l) }()
+	<-serving
+	is.NoErr(l.Drain(context.Background(), server))
+	for _, r := range readers {
+		resp, err := http.ReadResponse(r, nil)
+		is.NoErr(err)
+		b, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.Equal(string(b), "answer")
+	}
+	is.Equal(<-served, http.ErrServerClosed)
 }
 
 // Guards against a shutdown under load that cuts off a request: each one that the server
 // has read must get its whole answer.
-func TestShutdownUnderLoad(t *testing.T) {
+func TestDrainUnderLoad(t *testing.T) {
 	is := is.New(t)
 	l := newListener(t)
+	const clients = 16
 	var handled, answered atomic.Int64
+	var draining atomic.Bool
+	loaded := make(chan struct{})
 	server := &http.Server{ConnState: Track, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		handled.Add(1)
-		time.Sleep(5 * time.Millisecond)
+		if handled.Add(1) == 8*clients {
+			close(loaded)
+		}
+		if draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		io.WriteString(w, "answer")
 	})}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(l) }()
-	const clients = 16
 	ended := make(chan struct{}, clients)
 	for range clients {
 		c := dial(t, l)
@@ -162,14 +266,12 @@
 			}
 		}()
 	}
-	for handled.Load() < 8*clients {
-		time.Sleep(time.Millisecond)
-	}
-	is.NoErr(server.Shutdown(context.Background()))
+	<-loaded
+	draining.Store(true)
+	is.NoErr(l.Drain(context.Background(), server))
 	for range clients {
 		<-ended
 	}
-	is.Equal(l.Deferred(), 0)
 	is.Equal(answered.Load(), handled.Load())
 	is.Equal(<-served, http.ErrServerClosed)
 }
--- a/mesh/leave.go
+++ b/mesh/leave.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -58,9 +57,9 @@
 )
 
 // drain serves until clients have stopped sending, refuses new work for the server,
-// and waits for the requests in progress. Deferred returns the number of connections that
-// are closed but have a request to serve.
-func (n *Node) drain(callers *http.Server, deferred func() int) error {
+// and waits for the requests in progress. DrainCallers ends the connections of callers
+// when their requests have been served.
+func (n *Node) drain(drainCallers func(context.Context) error) error {
 	n.log.Info("planned stop started", "Counters", n.recorder.Snapshot().Counters, "InProgress", n.callsInProgress.Load(), "AtServer", n.admitter.Sample().InFlight)
 	n.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings().Grace-exitReserve)
@@ -73,8 +72,8 @@
 	waits.Sleep(leaveCtx, lateRequestTime)
 	cancelLeaveCtx()
 	n.setLeaveReason(leaveStop, true)
-	err := callers.Shutdown(ctx)
-	for ctx.Err() == nil && (deferred() > 0 || n.callsInProgress.Load() > 0 || n.admitter.Sample().InFlight > 0 || n.peers.Status().Serving > 0) {
+	err := drainCallers(ctx)
+	for ctx.Err() == nil && (n.admitter.Sample().InFlight > 0 || n.peers.Status().Serving > 0) {
 		waits.Sleep(ctx, drainPollInterval)
 	}
 	if ctx.Err() != nil {
--- a/mesh/loops.go
+++ b/mesh/loops.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"runtime/debug"
 	"slices"
 	"time"
 
@@ -32,30 +31,17 @@
 // current run of f.
 func (n *Node) loop(ctx context.Context, f func(ctx context.Context)) <-chan error {
 	ended := make(chan error, 1)
-	contained := func() {
-		defer func() {
-			if v := recover(); v != nil {
-				n.logPanic(v, debug.Stack())
-				waits.Sleep(ctx, panicDelay)
-			}
-		}()
-		f(ctx)
-	}
 	go func() {
 		for ctx.Err() == nil {
-			contained()
+			if err := n.guard.Run(func() error { f(ctx); return nil }); err != nil {
+				waits.Sleep(ctx, panicDelay)
+			}
 		}
 		ended <- ctx.Err()
 	}()
 	return ended
 }
 
-// logPanic logs a panic that did not end the process.
-func (n *Node) logPanic(value any, stack []byte) {
-	n.recorder.Count("Panics", 1)
-	n.log.Error("internal error; the process goes on", "Panic", value, "Stack", string(stack), "Remedy", "report it with this line")
-}
-
 // checkServer polls the server for its health and load.
 func (n *Node) checkServer(ctx context.Context) <-chan error {
 	failed := 0
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -20,6 +20,7 @@
 	prim "github.com/primrosethread/primrosethread"
 	"github.com/primrosethread/primrosethread/budget"
 	"github.com/primrosethread/primrosethread/conns"
+	"github.com/primrosethread/primrosethread/guard"
 	"github.com/primrosethread/primrosethread/owner"
 	"github.com/primrosethread/primrosethread/peers"
 	"github.com/primrosethread/primrosethread/platform"
@@ -48,6 +49,7 @@
 type Node struct {
 	config          Config
 	currentSettings atomic.Pointer[platform.Settings]
+	guard           *guard.Guard
 	log             *slog.Logger
 	instance        prim.Instance
 	store           *platform.Client
@@ -85,11 +87,11 @@
 // New builds a node. It serves nothing until Run is called.
 func New(c Config) (*Node, error) {
 	s := &c.Settings
-	n := &Node{config: c, log: c.Logger, instance: prim.NewInstance(), recorder: stats.New(stats.Config{}), checkNow: make(chan struct{}, 1), aheadPeers: make(chan prim.HostName, 1)}
+	n := &Node{config: c, log: c.Logger, guard: guard.New(c.Logger), instance: prim.NewInstance(), recorder: stats.New(stats.Config{}), checkNow: make(chan struct{}, 1), aheadPeers: make(chan prim.HostName, 1)}
 	n.currentSettings.Store(s)
 	n.store = platform.NewClient(s.Store.String())
 	n.registry = platform.NewRegistry(n.store, n.log)
-	n.roster = roster.New(roster.Config{Host: s.Host, DataCentre: s.DataCentre, Logger: n.log})
+	n.roster = roster.New(roster.Config{Host: s.Host, DataCentre: s.DataCentre, Logger: n.log, Guard: n.guard})
 	var err error
 	n.peers, err = peers.New(peers.Config{
 		Self:           s.Host,
@@ -101,7 +103,7 @@
 		OutgoingSample: func(s prim.LoadSample) (prim.LoadSample, bool) { return n.roster.Annotate(time.Now(), s), true },
 		IncomingSample: n.observeSample,
 		Logger:         n.log,
-		OnPanic:        n.logPanic,
+		Guard:          n.guard,
 		// Dialling a host that lost power has to fail quickly.
 		DialTimeout: dialTimeout,
 	})
@@ -243,7 +245,7 @@
 		"Callers", s.CallerListen, "Peers", s.PeerListen, "Instance", n.instance)
 
 	<-ctx.Done()
-	err := n.drain(callers, callerListener.Deferred)
+	err := n.drain(func(ctx context.Context) error { return callerListener.Drain(ctx, callers) })
 	links.Close()
 	n.peers.Close()
 	readiness.Close()
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -16,8 +16,8 @@
 
 	prim "github.com/primrosethread/primrosethread"
 	"github.com/primrosethread/primrosethread/fakes"
+	"github.com/primrosethread/primrosethread/guard"
 	"github.com/primrosethread/primrosethread/platform"
-	"github.com/primrosethread/primrosethread/stats"
 )
 
 // The tests run whole nodes in this process, each on its own loopback address, with
@@ -277,7 +277,7 @@
 // loop.
 func TestLoopContinuesAfterPanic(t *testing.T) {
 	is := is.New(t)
-	n := &Node{log: slog.New(slog.DiscardHandler), recorder: stats.New(stats.Config{})}
+	n := &Node{guard: guard.New(slog.New(slog.DiscardHandler))}
 	ctx, cancel := context.WithCancel(t.Context())
 	runs := 0
 	ended := n.loop(ctx, func(context.Context) {
@@ -288,5 +288,5 @@
 	})
 	is.Equal(<-ended, context.Canceled)
 	is.Equal(runs, 2)
-	is.Equal(n.recorder.Snapshot().Counters["Panics"], int64(1))
+	is.Equal(n.guard.Panics(), int64(1))
 }
--- a/mesh/status.go
+++ b/mesh/status.go
@@ -39,6 +39,7 @@
 	RoutingRefusedMs int64
 	Servers          int
 	RegistryCalls    int64
+	Panics           int64 // contained since the start
 	Requests         stats.Snapshot
 	Peers            peers.Status
 }
@@ -58,7 +59,7 @@
 		Server: n.admitter.ServerID(), Load: n.admitter.Sample(),
 		Routing: p.Routing.Version, RoutingAgeMs: routes.Milliseconds(), StateAgeMs: state.Milliseconds(),
 		RoutingRefused: refused.Cause, RoutingRefusedMs: refusedFor.Milliseconds(),
-		Servers: len(p.Servers), RegistryCalls: n.store.Calls(),
+		Servers: len(p.Servers), RegistryCalls: n.store.Calls(), Panics: n.guard.Panics(),
 		Requests: n.recorder.Snapshot(), Peers: n.peers.Status(),
 	}
 }
@@ -103,6 +104,7 @@
 	line("RoutingRefusedMs", s.RoutingRefusedMs)
 	line("Servers", s.Servers)
 	line("RegistryCalls", s.RegistryCalls)
+	line("Panics", s.Panics)
 	line("InFlight", s.Load.InFlight)
 	line("Queued", s.Load.Queued)
 	line("Limit", s.Load.Limit)
--- a/node/leave.go
+++ b/node/leave.go
@@ -123,15 +123,15 @@
 
 // drain stops admission, waits for the requests in flight of callers and peers,
 // and hands over the idempotency records and the allowance slots. Requests that
-// arrive meanwhile are still forwarded to other hosts. Deferred returns the number of
-// connections that are closed but have a request to serve.
-func (n *Node) drain(callerServer *http.Server, deferred func() int) error {
+// arrive meanwhile are still forwarded to other hosts. DrainCallers ends the connections
+// of callers when their requests have been served.
+func (n *Node) drain(drainCallers func(context.Context) error) error {
 	n.leaveReasons.set(n, leaveByStop, true)
 	ctx, cancel := context.WithTimeout(context.Background(), n.config.Settings.DrainTimeout)
 	defer cancel()
 	waits.Sleep(ctx, connectionCloseGrace)
-	err := callerServer.Shutdown(ctx)
-	for ctx.Err() == nil && (deferred() > 0 || n.hasRequests()) {
+	err := drainCallers(ctx)
+	for ctx.Err() == nil && n.hasRequests() {
 		waits.Sleep(ctx, drainPollInterval)
 	}
 	if ctx.Err() != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -272,7 +272,7 @@
 		serveErrors <- err
 		n.log.Error("listener failed", "Error", err)
 	}
-	err = n.drain(callerServer, callerListener.Deferred)
+	err = n.drain(func(ctx context.Context) error { return callerListener.Drain(ctx, callerServer) })
 	adminServer.Close()
 	n.peers.Close()
 	stop()
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -98,7 +98,15 @@
 		slot.Done(prim.Attempt{Host: o.config.Host, Outcome: prim.NotRun})
 		return nil, o.refuse(prim.ReasonExpired)
 	}
+	returned := false
+	defer func() {
+		if !returned {
+			// Do panicked. A slot that stayed in use would be lost for good.
+			slot.Done(prim.Attempt{Host: o.config.Host, Latency: time.Since(start), Outcome: prim.Unknown, Failed: true})
+		}
+	}()
 	answer, err := o.config.Server.Do(ctx, r)
+	returned = true
 	if err != nil {
 		slot.Done(o.failedAttempt(err, time.Since(start)))
 		var refusal *prim.RefusalError
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/guard"
 	"github.com/primrosethread/primrosethread/owner"
 )
 
@@ -57,3 +59,27 @@
 	is.True(errors.As(err, &refusal))
 	is.Equal(refusal.RetryAfter, 300*time.Millisecond)
 }
+
+// panickingServer panics in every request.
+type panickingServer struct{}
+
+func (panickingServer) Do(context.Context, *prim.Request) (*prim.Answer, error) { panic("test") }
+
+// Guards against a slot that stays in use for good after an unexpected error at the
+// server's client.
+func TestPanicReleasesSlot(t *testing.T) {
+	is := is.New(t)
+	a := acceptingAdmitter{released: make(chan prim.Attempt, 1)}
+	o := owner.New(owner.Config{Host: "h", Admitter: a, Server: panickingServer{}})
+	err := guard.New(slog.New(slog.DiscardHandler)).Run(func() error {
+		_, err := o.Dispatch(t.Context(), &prim.Request{Deadline: time.Now().Add(time.Minute)})
+		return err
+	})
+	is.True(err != nil)
+	select {
+	case attempt := <-a.released:
+		is.Equal(attempt.Outcome, prim.Unknown)
+	default:
+		t.Error("the slot is still in use")
+	}
+}
--- a/peers/accept.go
+++ b/peers/accept.go
@@ -155,22 +155,11 @@
 		return nil
 	}
 	started := l.peers.workerPool.runJob(func() {
-		ended := false
-		defer func() {
-			if !ended {
-				// The call panicked. The sender must not wait until its deadline.
-				l.respond(wire.Header{Type: wire.Lost, ID: h.ID, Text: "internal error; see the log of the host"}, nil)
-			}
-			l.endCall(h.ID, cancel)
-		}()
-		if h.Type == wire.Ask {
-			l.handleAsk(ctx, &h, body)
-		} else {
-			l.peers.serving.Add(1)
-			defer l.peers.serving.Add(-1)
-			l.runOwnerCall(ctx, &h, body, now)
+		defer l.endCall(h.ID, cancel)
+		if err := l.peers.config.Guard.Run(func() error { l.runCall(ctx, &h, body, now); return nil }); err != nil {
+			// The sender must not wait until its deadline.
+			l.respond(wire.Header{Type: wire.Lost, ID: h.ID, Text: err.Error()}, nil)
 		}
-		ended = true
 	})
 	if !started {
 		l.endCall(h.ID, cancel)
@@ -206,6 +195,17 @@
 	<-l.callSem
 }
 
+// runCall runs a call and sends its result.
+func (l *inboundLink) runCall(ctx context.Context, h *wire.Header, body []byte, now time.Time) {
+	if h.Type == wire.Ask {
+		l.handleAsk(ctx, h, body)
+		return
+	}
+	l.peers.serving.Add(1)
+	defer l.peers.serving.Add(-1)
+	l.runOwnerCall(ctx, h, body, now)
+}
+
 // runOwnerCall handles Dispatch, Reserve and Commit. It refuses a frame for
 // another instance of this node, because that instance may hold reservations or
 // records that this one does not know.
@@ -386,7 +386,11 @@
 	}
 	started := l.peers.workerPool.runJob(func() {
 		defer func() { <-l.callSem }()
-		if _, err := handler(ctx, l.host, prim.Message{Kind: h.Kind, Body: body}); err != nil {
+		err := l.peers.config.Guard.Run(func() error {
+			_, err := handler(ctx, l.host, prim.Message{Kind: h.Kind, Body: body})
+			return err
+		})
+		if err != nil {
 			l.peers.config.Logger.Debug("control message failed", "Kind", h.Kind, "Peer", l.host, "Error", err)
 		}
 	})
--- a/peers/link.go
+++ b/peers/link.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -114,7 +112,8 @@
 		if err != nil {
 			return err
 		}
-		if err := l.contain(func() error { return handle(&h, body) }); err != nil {
+		// A panic closes the link: what a frame changed in part can't be trusted.
+		if err := l.peers.config.Guard.Run(func() error { return handle(&h, body) }); err != nil {
 			return err
 		}
 		if cap(buf) > maxPooledBytes {
@@ -123,18 +122,6 @@
 	}
 }
 
-// contain calls f and returns its error. A panic in f is returned as an error, which
-// closes the link: what a frame changed in part can't be trusted.
-func (l *link) contain(f func() error) (err error) {
-	defer func() {
-		if v := recover(); v != nil {
-			l.peers.config.OnPanic(v, debug.Stack())
-			err = &wire.FrameError{Problem: "the frame caused an internal error", Cause: fmt.Errorf("panic: %v", v)}
-		}
-	}()
-	return f()
-}
-
 // readAll appends all that r returns to b and returns the extended slice.
 func readAll(r io.Reader, b []byte) ([]byte, error) {
 	for {
--- a/peers/liveness_test.go
+++ b/peers/liveness_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,6 +23,7 @@
 	samples chan prim.LoadSample
 	ended   chan prim.HostName
 	release chan struct{} // each value lets the owner at b answer one request
+	panics  atomic.Bool   // a panics when it receives a sample
 }
 
 func newPair(t *testing.T) *pair {
@@ -49,9 +51,15 @@
 	p.proxy, err = fakes.NewProxy(address, server.Listener.Addr().String())
 	is.NoErr(err)
 	p.a, err = peers.New(peers.Config{Self: "a", Instance: 1, Keyless: true, Local: owner,
-		Resolve:        func(prim.HostName) (netip.AddrPort, bool) { return netip.MustParseAddrPort(address), true },
-		IncomingSample: func(_ prim.HostName, s prim.LoadSample) (prim.LoadSample, bool) { p.samples <- s; return s, true },
-		OnUnlinked:     func(h prim.HostName) { p.ended <- h },
+		Resolve: func(prim.HostName) (netip.AddrPort, bool) { return netip.MustParseAddrPort(address), true },
+		IncomingSample: func(_ prim.HostName, s prim.LoadSample) (prim.LoadSample, bool) {
+			if p.panics.Load() {
+				panic("test")
+			}
+			p.samples <- s
+			return s, true
+		},
+		OnUnlinked: func(h prim.HostName) { p.ended <- h },
 	})
 	is.NoErr(err)
 	t.Cleanup(func() {
@@ -110,3 +118,18 @@
 	is.Equal(prim.OutcomeOf(<-ended), prim.Unknown)
 	is.Equal(<-p.ended, prim.HostName("b"))
 }
+
+// Guards against an unexpected error in the reader of a link that ends the process: only
+// the link may end, with an error for the calls on it.
+func TestPanicEndsOneLink(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	_, err := p.a.Ask(t.Context(), "b", prim.Message{Kind: peers.KindPing})
+	is.NoErr(err)
+	p.panics.Store(true)
+	is.Equal(p.b.Publish(prim.LoadSample{InFlight: 7}, func(prim.HostName) bool { return true }), 1)
+	is.Equal(<-p.ended, prim.HostName("b"))
+	p.panics.Store(false)
+	_, err = p.a.Ask(t.Context(), "b", prim.Message{Kind: peers.KindPing})
+	is.NoErr(err)
+}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -19,6 +19,7 @@
 	"time"
 
 	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/guard"
 )
 
 // Default values of Config, and fixed timeouts and thresholds.
@@ -64,10 +65,9 @@
 	// OnUnlinked is called when the last dialled link to a host has closed; it may be
 	// nil.
 	OnUnlinked func(prim.HostName)
-	// OnPanic is called with the value and the stack of a panic that was contained: it
-	// ended one call or one link. Nil logs it.
-	OnPanic func(value any, stack []byte)
-	Logger  *slog.Logger
+	// Guard contains panics, which end one call or one link; nil uses a new one.
+	Guard  *guard.Guard
+	Logger *slog.Logger
 	// LinksPerHost is the maximum number of dialled links to one host; 0 means
 	// DefaultLinksPerHost.
 	LinksPerHost int
@@ -135,10 +135,8 @@
 	if config.IncomingSample == nil {
 		config.IncomingSample = func(_ prim.HostName, s prim.LoadSample) (prim.LoadSample, bool) { return s, true }
 	}
-	if config.OnPanic == nil {
-		config.OnPanic = func(value any, stack []byte) {
-			config.Logger.Error("internal error; the process goes on", "Panic", value, "Stack", string(stack), "Remedy", "report it with this line")
-		}
+	if config.Guard == nil {
+		config.Guard = guard.New(config.Logger)
 	}
 	if config.OnUnlinked == nil {
 		config.OnUnlinked = func(prim.HostName) {}
@@ -157,7 +155,7 @@
 		handlers:   map[prim.Kind]prim.Handler{KindPing: answerPing},
 		localOwner: config.Local,
 		linkSem:    make(chan struct{}, config.MaxLinks),
-		workerPool: newWorkerPool(ctx, config.OnPanic),
+		workerPool: newWorkerPool(ctx),
 		groups:     make(map[prim.HostName]*linkGroup),
 
 		inboundLinks: make(map[*inboundLink]struct{}),
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -20,6 +21,7 @@
 	"pgregory.net/rapid"
 
 	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/guard"
 	"github.com/primrosethread/primrosethread/peers"
 	"github.com/primrosethread/primrosethread/wire"
 )
@@ -390,7 +392,7 @@
 // sender that waits until its deadline for the answer to that call.
 func TestPanicEndsOneCall(t *testing.T) {
 	is := is.New(t)
-	panics := make(chan any, 1)
+	g := guard.New(slog.New(slog.DiscardHandler))
 	owner := &fakeOwner{run: func(_ context.Context, r *prim.Request) (*prim.Answer, error) {
 		if r.Path == "/bad" {
 			var none *prim.Answer
@@ -400,7 +402,7 @@
 	}}
 	b, err := peers.New(peers.Config{Self: "b", Instance: 2, Keyless: true, Local: owner,
 		Resolve: func(prim.HostName) (netip.AddrPort, bool) { return netip.AddrPort{}, false },
-		OnPanic: func(v any, _ []byte) { panics <- v }})
+		Guard:   g})
 	is.NoErr(err)
 	defer b.Close()
 	server := httptest.NewServer(b.Handler())
@@ -418,6 +420,6 @@
 			continue
 		}
 		is.Equal(prim.OutcomeOf(err), prim.Unknown)
-		is.True(<-panics != nil)
 	}
+	is.Equal(g.Panics(), int64(1))
 }
--- a/peers/workers.go
+++ b/peers/workers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"runtime/debug"
 	"time"
 )
 
@@ -25,12 +24,10 @@
 	// workerSem is a semaphore that each goroutine holds one unit of; see
 	// Peers.linkSem.
 	workerSem chan struct{}
-	// onPanic is called with the value of a panic in a job and its stack.
-	onPanic func(value any, stack []byte)
 }
 
-func newWorkerPool(ctx context.Context, onPanic func(value any, stack []byte)) *workerPool {
-	return &workerPool{ctx: ctx, jobs: make(chan func()), workerSem: make(chan struct{}, maxWorkers), onPanic: onPanic}
+func newWorkerPool(ctx context.Context) *workerPool {
+	return &workerPool{ctx: ctx, jobs: make(chan func()), workerSem: make(chan struct{}, maxWorkers)}
 }
 
 // runJob runs job on an idle goroutine or a new one. It returns false, and does
@@ -57,7 +54,7 @@
 	idle := time.NewTimer(workerIdleTimeout)
 	defer idle.Stop()
 	for {
-		w.contain(job)
+		job()
 		idle.Reset(workerIdleTimeout)
 		select {
 		case job = <-w.jobs:
@@ -69,16 +66,6 @@
 	}
 }
 
-// contain runs job. A panic ends only the job, since the process serves all others.
-func (w *workerPool) contain(job func()) {
-	defer func() {
-		if v := recover(); v != nil {
-			w.onPanic(v, debug.Stack())
-		}
-	}()
-	job()
-}
-
 // wait waits for all goroutines to end. The pool's context must have ended.
 func (w *workerPool) wait() {
 	for range cap(w.workerSem) {
--- a/roster/follow.go
+++ b/roster/follow.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
-	"runtime/debug"
 	"time"
 
 	prim "github.com/primrosethread/primrosethread"
@@ -64,26 +62,18 @@
 	rd := &reader{roster: r, registry: registry, republishDelay: republishDelay, started: time.Now()}
 	go func() {
 		for ctx.Err() == nil {
-			rd.containedStep(ctx)
+			// A panic, for example by published bytes that a decoder does not expect,
+			// counts as a failed read.
+			if err := r.config.Guard.Run(func() error { rd.step(ctx); return nil }); err != nil {
+				rd.revision = 0
+				rd.backOff(ctx, err)
+			}
 		}
 		ended <- ctx.Err()
 	}()
 	return ended
 }
 
-// containedStep calls step. A panic, for example by published bytes that a decoder does
-// not expect, counts as a failed read and does not end the process.
-func (rd *reader) containedStep(ctx context.Context) {
-	defer func() {
-		if v := recover(); v != nil {
-			rd.roster.log.Error("internal error; the process goes on", "Panic", v, "Stack", string(debug.Stack()), "Remedy", "report it with this line")
-			rd.revision = 0
-			rd.backOff(ctx, fmt.Errorf("panic: %v", v))
-		}
-	}()
-	rd.step(ctx)
-}
-
 // step does a full read, runs one watch, or waits while this node need not read.
 func (rd *reader) step(ctx context.Context) {
 	reads, primary := rd.roster.shouldRead(time.Now(), rd.started)
@@ -182,13 +172,12 @@
 	after := rd.revision
 	go func(ctx context.Context) {
 		defer close(done)
-		defer func() {
-			if v := recover(); v != nil {
-				w.result <- watchResult{err: fmt.Errorf("panic: %v\n%s", v, debug.Stack())}
-			}
-		}()
-		changes, revision, err := rd.registry.Changes(ctx, after, watchTimeout-rand.N(watchTimeout/4))
-		w.result <- watchResult{changes, revision, err}
+		var result watchResult
+		result.err = rd.roster.config.Guard.Run(func() (err error) {
+			result.changes, result.revision, err = rd.registry.Changes(ctx, after, watchTimeout-rand.N(watchTimeout/4))
+			return err
+		})
+		w.result <- result
 	}(ctx)
 	w.stop = func() {
 		cancel()
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -12,6 +12,7 @@
 	"time"
 
 	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/guard"
 )
 
 // Config configures a Roster.
@@ -20,6 +21,8 @@
 	Host       prim.HostName
 	DataCentre prim.DataCentre
 	Logger     *slog.Logger
+	// Guard contains panics of the reader; nil uses a new one.
+	Guard *guard.Guard
 }
 
 // Roster implements prim.Placements.
@@ -60,6 +63,9 @@
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
+	if c.Guard == nil {
+		c.Guard = guard.New(c.Logger)
+	}
 	return &Roster{
 		config: c, log: c.Logger, changed: make(chan struct{}),
 		switches:  make(map[prim.DataCentre]prim.DataCentreSwitch),
