conns, platform: every 4xx of the node is logged and counted

Cause: the report of rejected requests can't be traced. net/http answers 400, 413, 417 and 431 without calling the handler and without a log line; a 404 did not say how old the routes were, and no 4xx was counted. Change: package conns reports responses that net/http sends by itself.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -19,15 +19,26 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/primrosethread/primrosethread/waits"
 )
 
+// Config configures a Listener.
+type Config struct {
+	Listener *net.TCPListener
+	// OnReject is called with responses that net/http sends without calling the handler;
+	// it may be nil. The server's ConnContext has to be Context, and its handler one
+	// returned by Handler.
+	OnReject func(client net.Addr, response string)
+}
+
 // Listener is a listener for an http.Server whose ConnState calls Track.
 type Listener struct {
 	*net.TCPListener
+	onReject func(client net.Addr, response string)
 
 	mu      sync.Mutex
 	closed  bool
@@ -35,8 +46,10 @@
 	open    map[*conn]bool // connections of the server that are neither closed nor hijacked
 }
 
-// New returns a Listener that accepts the connections of l.
-func New(l *net.TCPListener) *Listener { return &Listener{TCPListener: l, open: make(map[*conn]bool)} }
+// New returns a Listener.
+func New(c Config) *Listener {
+	return &Listener{TCPListener: c.Listener, onReject: c.OnReject, open: make(map[*conn]bool)}
+}
 
 // Track records the state of a connection. It is an http.Server.ConnState function.
 func Track(c net.Conn, s http.ConnState) {
@@ -45,6 +58,9 @@
 		defer c.mu.Unlock()
 		c.idle, c.received = s == http.StateNew || s == http.StateIdle, false
 		c.used = c.used || s == http.StateIdle
+		if s == http.StateIdle {
+			c.handled.Store(false)
+		}
 		if s == http.StateHijacked {
 			c.listener.forget(c)
 		}
@@ -157,6 +173,7 @@
 	*net.TCPConn
 	listener   *Listener
 	acceptedAt time.Time
+	handled    atomic.Bool // the handler has been called for the current request
 
 	mu       sync.Mutex // held while bytes are received on an idle connection
 	idle     bool       // the server waits for the first byte of a request
--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -23,7 +23,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	return New(l.(*net.TCPListener))
+	return New(Config{Listener: l.(*net.TCPListener)})
 }
 
 func dial(t *testing.T, l *Listener) net.Conn {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -128,7 +128,7 @@
 	})
 	n.handler = platform.NewHandler(platform.HandlerConfig{
 		Placements: n.roster, Caller: n.relay, Recorder: n.recorder, Logger: n.log,
-		Origin: s.Service, Leaving: n.stopping.Load,
+		Origin: s.Service, Leaving: n.stopping.Load, Ages: n.roster.Ages,
 	})
 	return n, nil
 }
@@ -203,7 +203,7 @@
 	s := &n.config.Settings
 	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
 	router.Handle(peers.Path, n.peers.Handler())
-	callers := &http.Server{Handler: n.countCalls(n.handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: conns.Track}
+	callers := &http.Server{Handler: conns.Handler(n.countCalls(n.handler)), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: conns.Track, ConnContext: conns.Context}
 	readiness := &http.Server{Handler: n.readyRoutes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	metrics := &http.Server{Handler: n.statusRoutes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	links := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
@@ -223,7 +223,7 @@
 			return fmt.Errorf("listen for %s: %w; free the address or change the settings", l.name, err)
 		}
 	}
-	callerListener := conns.New(endpoints[0].listener.(*net.TCPListener))
+	callerListener := conns.New(conns.Config{Listener: endpoints[0].listener.(*net.TCPListener), OnReject: n.recordRejection})
 	endpoints[0].listener = callerListener
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -271,6 +271,12 @@
 	idleTimeout   = 90 * time.Second
 )
 
+// recordRejection records a response that net/http sent without calling the handler.
+func (n *Node) recordRejection(client net.Addr, response string) {
+	n.recorder.Count("RejectedAsMalformed", 1)
+	n.log.Info("request rejected as malformed", "Client", client.String(), "Response", response)
+}
+
 // countCalls counts the callers' requests in progress.
 func (n *Node) countCalls(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/node/node.go
+++ b/node/node.go
@@ -255,7 +255,7 @@
 	n.front.Mount(router)
 	callerServer := newServer(n.closeConnectionsOnStop(router))
 	limiter := &connectionLimiter{limit: int64(n.config.Settings.MaxConnections)}
-	callerListener := conns.New(listener.(*net.TCPListener))
+	callerListener := conns.New(conns.Config{Listener: listener.(*net.TCPListener)})
 	callerServer.ConnState = func(c net.Conn, s http.ConnState) {
 		conns.Track(c, s)
 		limiter.stateChanged(c, s)
