roster: a response to another node holds one version of the routes

Cause: changesSince returned a pointer to the current routes, and Handle encoded it after the lock was released. If the routes changed meanwhile, the response mixed two versions: the version and a part of the routes of one, the rest and the revision of the other. A node that fetches it may answer 404 for a route that every version has, until its next fetch. Change: the response gets a copy of the routes, whose slices never change. Result: TestResponseHoldsOneVersionOfRoutes failed before (revision 5 in version 4) and passes with -race.

--- a/roster/share.go
+++ b/roster/share.go
@@ -67,7 +67,8 @@
 		resp.Complete, resp.EntriesEqual = false, true
 	}
 	if r.routing.Version > req.RoutingVersion {
-		resp.Routing = &r.routing
+		routing := r.routing // the response is encoded without the lock
+		resp.Routing = &routing
 	}
 	for _, e := range r.servers {
 		if resp.Complete || !resp.EntriesEqual && e.Revision > req.Revision {
--- a/roster/share_test.go
+++ b/roster/share_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
@@ -105,6 +106,46 @@
 	})
 }
 
+// Guards against a response with routes of two versions, because the routes change
+// while it is encoded.
+func TestResponseHoldsOneVersionOfRoutes(t *testing.T) {
+	is := is.New(t)
+	r := New(Config{DataCentre: "a"})
+	publish := func(version uint64) {
+		routes := make([]prim.PathRoute, 100+version%7*50)
+		for i := range routes {
+			routes[i] = prim.PathRoute{Name: fmt.Sprint(version), Authority: "a.example", Prefix: fmt.Sprintf("/%d/", i), Targets: []prim.Target{{Service: "s", Weight: 1}}}
+		}
+		r.SetRouting(prim.Routing{Version: version, Routes: routes, Revision: version}, "test")
+	}
+	publish(1)
+	request, err := encoding.Marshal(stateRequest{})
+	is.NoErr(err)
+	published := make(chan struct{})
+	go func() {
+		defer close(published)
+		for version := uint64(2); version < 400; version++ {
+			publish(version)
+		}
+	}()
+	for running := true; running; {
+		select {
+		case <-published:
+			running = false
+		default:
+		}
+		m, err := r.Handle(t.Context(), "host-1", prim.Message{Kind: KindState, Body: request})
+		is.NoErr(err)
+		var resp stateResponse
+		is.NoErr(cbor.Unmarshal(m.Body, &resp))
+		is.Equal(resp.Routing.Revision, resp.Routing.Version)
+		is.Equal(len(resp.Routing.Routes), int(100+resp.Routing.Version%7*50))
+		for _, v := range resp.Routing.Routes {
+			is.Equal(v.Name, fmt.Sprint(resp.Routing.Version))
+		}
+	}
+}
+
 // Guards against nodes that start together and send each other all entries because
 // each has read at another revision.
 func TestEqualEntriesAreNotSent(t *testing.T) {
