roster: a server that left before an outage isn't in use again after it

Cause: removals of the last two seconds are reverted when most entries go at once, or after an outage of the registry. They were dropped from the list only when further changes arrived, so after an outage the last removals before it were reverted, however old they were; for the two seconds until the next full read their servers counted as ready. Change: old removals are also dropped before they are reverted. Result: TestOutageKeepsServersRemoved failed before and passes.

--- a/roster/apply.go
+++ b/roster/apply.go
@@ -48,6 +48,7 @@
 		r.retainUntil = time.Time{}
 		clear(r.retained)
 	} else {
+		r.forgetRemovals(now)
 		for _, m := range r.recentRemovals {
 			if _, known := r.servers[m.entry.ID]; !known {
 				m.entry.Revision = revision
@@ -97,9 +98,7 @@
 			r.recentRemovals = append(r.recentRemovals, removedEntry{old, now})
 		}
 	}
-	for len(r.recentRemovals) > 0 && now.Sub(r.recentRemovals[0].at) > massRemovalWindow {
-		r.recentRemovals = r.recentRemovals[1:]
-	}
+	r.forgetRemovals(now)
 	if changed {
 		r.rebuild(revision, registrySource)
 	}
@@ -107,6 +106,14 @@
 	return n >= minMassRemoval && float64(n) > massRemovalShare*float64(n+len(r.servers))
 }
 
+// forgetRemovals drops the removals that are older than massRemovalWindow from the recent
+// ones. The caller holds r.mu.
+func (r *Roster) forgetRemovals(now time.Time) {
+	for len(r.recentRemovals) > 0 && now.Sub(r.recentRemovals[0].at) > massRemovalWindow {
+		r.recentRemovals = r.recentRemovals[1:]
+	}
+}
+
 // merge applies the routes, switches and entries that are newer than the current ones.
 // An unknown server whose entry is not newer than snapshotRevision was removed before
 // that revision.
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -283,6 +283,29 @@
 	return g.fakeRegistry.Changes(ctx, after, wait)
 }
 
+// Guards against a server that left before an outage of the registry and is in use again
+// after it.
+func TestOutageKeepsServersRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRegistry()
+		g.putEntry("i-1", false)
+		g.putEntry("i-2", false)
+		r, stop := startRoster(t, g)
+		defer stop()
+		time.Sleep(time.Second)
+		g.removeEntry("i-2")
+		time.Sleep(massRemovalWindow + time.Second)
+		is.True(r.Placement().ServerByID("i-2") == nil)
+		g.setError(errors.New("down"))
+		time.Sleep(10 * time.Second)
+		g.setError(nil)
+		for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			is.True(r.Placement().ServerByID("i-2") == nil)
+		}
+	})
+}
+
 // Guards against published bytes that end the process because a decoder panics, and
 // against a reader that gives up after it.
 func TestReaderContinuesAfterPanic(t *testing.T) {
