roster: a full state of another node ends the switches that it lacks

Cause: a node that started after a data centre was taken back into service doesn't know the switch and doesn't list it. A node that had missed the end of the switch and fetched the full state there took over its revision but kept the switch, and the data centre stayed out of service at that node until it read the registry itself. Change: a full state ends the switches that it doesn't list, as a read of the registry does.

--- a/roster/apply.go
+++ b/roster/apply.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"slices"
 	"time"
 
 	prim "github.com/primrosethread/primrosethread"
@@ -62,22 +63,23 @@
 			r.removeServer(prim.Removal{ID: id, Revision: revision}, registrySource)
 		}
 	}
-	// A data centre without a published switch is in service.
-	named := make(map[prim.DataCentre]bool, len(s.Switches))
-	for _, c := range s.Switches {
-		named[c.DataCentre] = true
-	}
-	for _, c := range r.switches {
-		if c.Out && !named[c.DataCentre] {
-			r.setSwitch(prim.DataCentreSwitch{DataCentre: c.DataCentre, Revision: revision}, registrySource)
-		}
-	}
+	r.endUnlisted(s.Switches, revision, registrySource)
 	// This node never saw servers that were added and removed between two reads. Nodes
 	// that may have seen them are sent the full state.
 	r.removals, r.removalsFrom = nil, revision
 	r.rebuild(revision, registrySource)
 }
 
+// endUnlisted ends the switches that a full state lacks: a data centre without a switch
+// is in service. The caller holds r.mu.
+func (r *Roster) endUnlisted(listed []prim.DataCentreSwitch, revision uint64, source string) {
+	for d, c := range r.switches {
+		if c.Out && !slices.ContainsFunc(listed, func(l prim.DataCentreSwitch) bool { return l.DataCentre == d }) {
+			r.setSwitch(prim.DataCentreSwitch{DataCentre: d, Revision: revision}, source)
+		}
+	}
+}
+
 // applyChanges applies changes from the registry. It reports whether so many entries
 // were removed at once that the registry must have had an outage.
 func (r *Roster) applyChanges(now time.Time, s prim.Published) (massRemoval bool) {
--- a/roster/share.go
+++ b/roster/share.go
@@ -159,6 +159,7 @@
 		}
 	}
 	if resp.Complete || resp.EntriesEqual {
+		r.endUnlisted(resp.Switches, resp.Revision, source)
 		r.removals, r.removalsFrom = nil, resp.Revision
 	}
 	r.rebuild(resp.Revision, source)
--- a/roster/share_test.go
+++ b/roster/share_test.go
@@ -172,6 +172,27 @@
 	is.True(s.Complete && len(s.Servers) == 49)
 }
 
+// Guards against a data centre that stays out of service at a node which missed the end
+// of the switch, because the node that it asks never saw the switch.
+func TestFullStateEndsSwitch(t *testing.T) {
+	is := is.New(t)
+	g := newRegistry()
+	g.putEntry("i-1", false)
+	behind, restarted := New(Config{DataCentre: "a"}), New(Config{DataCentre: "a"})
+	read := func(r *Roster) {
+		s, at, _ := g.Read(context.Background())
+		r.applySnapshot(epoch, s, at)
+	}
+	read(behind)
+	behind.SetSwitch(prim.DataCentreSwitch{DataCentre: "b", Out: true, Revision: g.revision + 1}, "test")
+	g.update(func() {}) // the switch
+	g.update(func() {}) // its end
+	read(restarted)
+	behind.applyResponse(restarted.changesSince(behind.request()), "test")
+	is.Equal(behind.Revision(), restarted.Revision())
+	is.True(!behind.Placement().IsDataCentreOut("b"))
+}
+
 // Guards against a server that gets no requests because only its host is cut off from
 // the registry: its entry expires, and the other nodes report the removal.
 func TestOwnEntryIsKeptWhenPeersReportRemoval(t *testing.T) {
