peers: a link isn't closed while the bytes of a long frame arrive

Cause: the write of one frame was bounded by 250 ms whatever its length, and the receiver counted a link as silent until the whole frame had arrived. The state with large routes took longer, so the link was closed with all calls on it, and the node that had asked kept its old routes and asked again. Change: the bound applies to pieces of 16 KiB, and each part that arrives is a sign of life. The same bound closed links that carried request bodies and answers of up to 1 MiB.

--- a/peers/link.go
+++ b/peers/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,8 +30,9 @@
 	done     chan struct{} // closed when the reader has ended
 
 	unanswered atomic.Int64 // number of unanswered calls; only used on dialled links
-	lastFrame  atomic.Int64 // when the last frame was received, in nanoseconds since epoch
-	mu         sync.Mutex
+	// lastReceived is when a part of a frame was last received, in nanoseconds since epoch.
+	lastReceived atomic.Int64
+	mu           sync.Mutex
 	// pending holds the unanswered calls by id; nil once the link is closed.
 	pending map[uint64]*call
 	lastID  uint64
@@ -46,11 +48,11 @@
 		done:     make(chan struct{}),
 		pending:  make(map[uint64]*call),
 	}
-	l.lastFrame.Store(int64(time.Since(epoch)))
+	l.lastReceived.Store(int64(time.Since(epoch)))
 	return l
 }
 
-// epoch is the time from which link.lastFrame counts on the monotonic clock.
+// epoch is the time from which link.lastReceived counts on the monotonic clock.
 var epoch = time.Now()
 
 var frameBuffers = sync.Pool{New: func() any { b := make([]byte, 0, 4096); return &b }}
@@ -59,8 +61,8 @@
 const maxPooledBytes = 256 << 10
 
 // writeFrame sends one frame. The context bounds only the wait for writeSem; a write
-// that has started is bounded by writeTimeout, and if it fails the link is
-// closed. If sent is false, nothing of the frame was written.
+// that has started ends when it makes no progress for writeTimeout, and if it fails the
+// link is closed. If sent is false, nothing of the frame was written.
 func (l *link) writeFrame(ctx context.Context, h *wire.Header, body []byte) (sent bool, err error) {
 	buf := frameBuffers.Get().(*[]byte)
 	defer func() {
@@ -80,9 +82,7 @@
 		return false, errLinkClosed
 	}
 	defer func() { <-l.writeSem }()
-	writeCtx, cancel := context.WithTimeout(l.peers.ctx, writeTimeout)
-	defer cancel()
-	if err := l.conn.Write(writeCtx, websocket.MessageBinary, *buf); err != nil {
+	if err := l.writeMessage(*buf); err != nil {
 		l.conn.CloseNow()
 		return true, err
 	}
@@ -90,6 +90,28 @@
 	return true, nil
 }
 
+// writeMessage writes a WebSocket message in pieces. The caller holds writeSem.
+func (l *link) writeMessage(b []byte) error {
+	ctx, cancel := context.WithCancel(l.peers.ctx)
+	defer cancel()
+	stalled := time.AfterFunc(writeTimeout, cancel)
+	defer stalled.Stop()
+	if len(b) <= maxPieceBytes {
+		return l.conn.Write(ctx, websocket.MessageBinary, b)
+	}
+	w, err := l.conn.Writer(ctx, websocket.MessageBinary)
+	if err != nil {
+		return err
+	}
+	for piece := range slices.Chunk(b, maxPieceBytes) {
+		if _, err := w.Write(piece); err != nil {
+			return err
+		}
+		stalled.Reset(writeTimeout)
+	}
+	return w.Close()
+}
+
 // readFrames calls handle for every frame until the link fails, handle returns an error
 // or the context ends. The body passed to handle is only valid during the call.
 func (l *link) readFrames(ctx context.Context, handle func(*wire.Header, []byte) error) error {
@@ -102,12 +124,11 @@
 		if kind != websocket.MessageBinary {
 			return &wire.FrameError{Problem: "text message", Cause: errors.New("frames are binary")}
 		}
-		buf, err = readAll(r, buf[:0])
+		buf, err = l.readAll(r, buf[:0])
 		if err != nil {
 			return err
 		}
 		l.peers.bytesIn.Add(int64(len(buf)))
-		l.lastFrame.Store(int64(time.Since(epoch)))
 		h, body, err := wire.Split(buf)
 		if err != nil {
 			return err
@@ -123,12 +144,13 @@
 }
 
 // readAll appends all that r returns to b and returns the extended slice.
-func readAll(r io.Reader, b []byte) ([]byte, error) {
+func (l *link) readAll(r io.Reader, b []byte) ([]byte, error) {
 	for {
 		if len(b) == cap(b) {
 			b = append(b, 0)[:len(b)]
 		}
 		n, err := r.Read(b[len(b):cap(b)])
+		l.lastReceived.Store(int64(time.Since(epoch)))
 		b = b[:len(b)+n]
 		if err == io.EOF {
 			return b, nil
--- a/peers/liveness.go
+++ b/peers/liveness.go
@@ -64,13 +64,13 @@
 		links := append([]*link(nil), g.links...)
 		g.mu.Unlock()
 		for _, l := range links {
-			idle := now - time.Duration(l.lastFrame.Load())
+			idle := now - time.Duration(l.lastReceived.Load())
 			switch {
 			case l.unanswered.Load() == 0:
 				// No call is unanswered. Keep the idle time below pingAfter,
-				// so that the next call starts with a recent lastFrame.
+				// so that the next call starts with a recent lastReceived.
 				if idle > pingAfter {
-					l.lastFrame.Store(int64(now - pingAfter/2))
+					l.lastReceived.Store(int64(now - pingAfter/2))
 				}
 			case idle > closeAfter:
 				closed = append(closed, g.host)
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -28,12 +28,14 @@
 	DefaultMaxCalls     = 4096
 	DefaultMaxLinks     = 4096
 	DefaultDialTimeout  = time.Second
-	// writeTimeout bounds the write of one frame. A link whose peer does not
-	// read is closed after it, because a frozen peer must not delay calls that
-	// could go to another host.
-	writeTimeout = 250 * time.Millisecond
-	minBackoff   = 50 * time.Millisecond
-	maxBackoff   = 2 * time.Second
+	// writeTimeout bounds the write of one piece of a frame. A link whose peer does
+	// not read is closed after it, because a frozen peer must not delay calls that
+	// could go to another host. A longer frame takes as long as its bytes make
+	// progress.
+	writeTimeout  = 250 * time.Millisecond
+	maxPieceBytes = 16 << 10
+	minBackoff    = 50 * time.Millisecond
+	maxBackoff    = 2 * time.Second
 	// extraLinkThreshold is the number of unanswered calls at which another
 	// link to a host is dialled, once every link to it has that many.
 	extraLinkThreshold = 16
