roster: the state for another node is deflated and fits into a frame

Cause: a state with new routes takes twice the bytes that the platform allows for a configuration (1.87 MB for 12,000 routes, 1.1 MB fit into a frame). A configuration of more than about 7,000 routes reached only the nodes that read the registry; the others answered 404 for its new routes for ever. Smaller ones fill slow links at each change. Change: states from 4 KiB are deflated for nodes that ask for it; an inflated state is bounded by 16 MiB. Nodes of earlier versions get the state as before. Result: TestLargestConfigurationFitsIntoMessage failed before (1870424 bytes) and passes.

--- a/roster/share.go
+++ b/roster/share.go
@@ -20,6 +20,9 @@
 // KindState is the kind of a request for the changes since the sender's state.
 const KindState prim.Kind = "State"
 
+// kindDeflatedState is the kind of a response that is deflated.
+const kindDeflatedState prim.Kind = "StateDeflated"
+
 // encoding encodes times with fractions of a second, which distinguish the entries of
 // one host.
 var encoding = func() cbor.EncMode {
@@ -35,6 +38,8 @@
 	Revision       uint64 `cbor:"1,keyasint"`
 	RoutingVersion uint64 `cbor:"2,keyasint"` // version of the sender's routes
 	Digest         uint64 `cbor:"3,keyasint"` // of the sender's entries
+	// Inflates is set by senders that accept a deflated response.
+	Inflates bool `cbor:"4,keyasint,omitempty"`
 }
 
 // stateResponse is the body of the answer to a stateRequest.
@@ -55,7 +60,11 @@
 		return prim.Message{}, fmt.Errorf("state request: %w; check that both nodes run compatible versions", err)
 	}
 	b, err := encoding.Marshal(r.changesSince(req))
-	return prim.Message{Kind: KindState, Body: b}, err
+	if err != nil || !req.Inflates || len(b) < minDeflatedBytes {
+		return prim.Message{Kind: KindState, Body: b}, err
+	}
+	b, err = deflate(b)
+	return prim.Message{Kind: kindDeflatedState, Body: b}, err
 }
 
 // changesSince returns the changes since the state that a request describes.
@@ -95,6 +104,11 @@
 	if err != nil {
 		return err
 	}
+	if m.Kind == kindDeflatedState {
+		if m.Body, err = inflate(m.Body); err != nil {
+			return fmt.Errorf("state from host %q: %w", from, err)
+		}
+	}
 	var resp stateResponse
 	if err := cbor.Unmarshal(m.Body, &resp); err != nil {
 		return fmt.Errorf("state from host %q: %w; check that both nodes run compatible versions", from, err)
@@ -107,7 +121,7 @@
 func (r *Roster) request() stateRequest {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return stateRequest{r.revision, r.routing.Version, r.digest()}
+	return stateRequest{r.revision, r.routing.Version, r.digest(), true}
 }
 
 // digest returns a sum over the entries that depends neither on their order nor on
--- a/roster/share_test.go
+++ b/roster/share_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -15,6 +16,7 @@
 	"pgregory.net/rapid"
 
 	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/wire"
 )
 
 // Guards against entries that a node wrongly keeps or drops when it applies another
@@ -146,6 +148,67 @@
 	}
 }
 
+// Guards against routes that reach only the nodes which read the registry, because a
+// large configuration doesn't fit into a message between nodes.
+func TestLargestConfigurationFitsIntoMessage(t *testing.T) {
+	is := is.New(t)
+	routes := make([]prim.PathRoute, 12000) // about 1 MiB as the platform encodes them
+	for i := range routes {
+		routes[i] = prim.PathRoute{
+			Name: fmt.Sprintf("r-%x", rand.Uint64()), Authority: "a.example", Prefix: fmt.Sprintf("/%x/", rand.Uint32()),
+			Targets: []prim.Target{{Service: "orders", Weight: 1}}, Idempotent: true,
+			Timeout: 1500 * time.Millisecond, Objective: 600 * time.Millisecond, Priority: 2, Attempts: 2,
+		}
+	}
+	from, to := New(Config{DataCentre: "a"}), New(Config{DataCentre: "a"})
+	from.SetRouting(prim.Routing{Version: 1, Routes: routes, Revision: 1}, "test")
+	is.NoErr(to.Fetch(t.Context(), messages{to: from}, "host-1"))
+	is.Equal(to.Placement().Routing.Routes, routes)
+}
+
+// messages is a prim.Transport to a roster that refuses messages larger than a frame.
+type messages struct {
+	prim.Transport
+	to *Roster
+}
+
+func (m messages) Ask(ctx context.Context, from prim.HostName, request prim.Message) (prim.Message, error) {
+	reply, err := m.to.Handle(ctx, from, request)
+	if len(reply.Body) > wire.MaxBodyBytes {
+		err = fmt.Errorf("%d bytes don't fit into a frame", len(reply.Body))
+	}
+	return reply, err
+}
+
+// Guards against a small message that makes a node allocate memory without bound.
+func TestInflatedStateIsBounded(t *testing.T) {
+	is := is.New(t)
+	b, err := deflate(make([]byte, maxStateBytes+1))
+	is.NoErr(err)
+	_, err = inflate(b)
+	is.True(err != nil)
+	b, err = deflate(make([]byte, maxStateBytes))
+	is.NoErr(err)
+	b, err = inflate(b)
+	is.NoErr(err)
+	is.Equal(len(b), maxStateBytes)
+}
+
+// Guards against a node of an earlier version that gets a state it can't decode.
+func TestStateIsDeflatedOnlyOnRequest(t *testing.T) {
+	is := is.New(t)
+	r := New(Config{DataCentre: "a"})
+	r.SetRouting(prim.Routing{Version: 1, Revision: 1, Routes: make([]prim.PathRoute, 1000)}, "test")
+	request, err := encoding.Marshal(stateRequest{})
+	is.NoErr(err)
+	m, err := r.Handle(t.Context(), "host-1", prim.Message{Kind: KindState, Body: request})
+	is.NoErr(err)
+	is.Equal(m.Kind, KindState)
+	var resp stateResponse
+	is.NoErr(cbor.Unmarshal(m.Body, &resp))
+	is.Equal(len(resp.Routing.Routes), 1000)
+}
+
 // Guards against nodes that start together and send each other all entries because
 // each has read at another revision.
 func TestEqualEntriesAreNotSent(t *testing.T) {
