--- a/mesh/loops.go
+++ b/mesh/loops.go
@@ -169,8 +169,9 @@
 	// after closeAfter its links are closed.
 	pingAfter  = 400 * time.Millisecond
 	closeAfter = 1200 * time.Millisecond
-	// fetchTimeout bounds a request for another node's state.
-	fetchTimeout = time.Second
+	// fetchTimeout bounds a request for another node's state. A large state takes seconds
+	// on a slow link; if nothing arrives, the link is closed after closeAfter.
+	fetchTimeout = 4 * time.Second
 )
 
 // maintainLinks keeps links to the servers of this data centre that this node uses and
--- a/roster/apply.go
+++ b/roster/apply.go
@@ -38,7 +38,7 @@
 func (r *Roster) applySnapshot(now time.Time, s prim.Published, revision uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.ownEntryDisputed, r.registryLost, r.reportedRemovals = false, false, nil
+	r.ownEntryDisputed, r.registryLost, r.reportedRemovals, r.failedFetches = false, false, nil, 0
 	r.merge(s, 0)
 	listed := make(map[string]bool, len(s.Servers))
 	for _, e := range s.Servers {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -48,6 +48,7 @@
 	reading           bool                        // this node follows the registry
 	ownEntryDisputed  bool                        // another node reported this host's server as removed
 	registryLost      bool                        // this node can't read the registry
+	failedFetches     int                         // in a row, since the last state applied
 	reportedRemovals  []removedEntry              // by other nodes, within reportedRemovalWindow
 	retained          map[string]prim.ServerEntry // removed according to other nodes, kept here
 	peers             map[prim.HostName]peerState
--- a/roster/selection_test.go
+++ b/roster/selection_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -186,6 +187,37 @@
 	})
 }
 
+// failingTransport is a prim.Transport on which no node answers.
+type failingTransport struct{ prim.Transport }
+
+func (failingTransport) Ask(context.Context, prim.HostName, prim.Message) (prim.Message, error) {
+	return prim.Message{}, errors.New("link closed")
+}
+
+// Guards against a node that relies on other readers and keeps old routes for ever,
+// because none of them can send it the new ones.
+func TestFailedFetchesEndInRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRegistry()
+		rosters, silenced := startGroup(t, g, 20)
+		time.Sleep(10 * time.Second)
+		i := slices.IndexFunc(rosters, func(r *Roster) bool { return !r.Annotate(time.Now(), prim.LoadSample{}).Reading })
+		r := rosters[i]
+		silenced[i].Store(true)
+		g.publishRoutes(2)
+		for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+			for _, o := range rosters {
+				if r.ObserveSample(time.Now(), o.config.Host, o.Annotate(time.Now(), prim.LoadSample{})) {
+					is.True(r.Fetch(t.Context(), failingTransport{}, o.config.Host) != nil)
+				}
+			}
+		}
+		is.Equal(r.Placement().Routing.Version, uint64(2))
+		is.True(!r.Annotate(time.Now(), prim.LoadSample{}).Reading)
+	})
+}
+
 // Guards against substitute readers that rely on each other. With the primary readers
 // silenced, each substitute hears the others read; after the registry drops its
 // history, none of them would read the registry itself.
--- a/roster/share.go
+++ b/roster/share.go
@@ -94,8 +94,24 @@
 	return resp
 }
 
+// maxFailedFetches is the number of fetches that fail in a row before a node reads the
+// registry itself. A single one fails when the other node stops.
+const maxFailedFetches = 2
+
 // Fetch requests newer state from another node and applies it.
 func (r *Roster) Fetch(ctx context.Context, t prim.Transport, from prim.HostName) error {
+	err := r.fetch(ctx, t, from)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil {
+		r.failedFetches = 0
+	} else {
+		r.failedFetches++
+	}
+	return err
+}
+
+func (r *Roster) fetch(ctx context.Context, t prim.Transport, from prim.HostName) error {
 	body, err := encoding.Marshal(r.request())
 	if err != nil {
 		return err
