fakes: the store can be restored from a copy

Cause: in the users' drills the store may come back from a copy some seconds old. What was written since is lost, its revisions are given out again, and the header Store-Era of all responses rises by one. The stand-in of the store could not do that. Change: Store.Copy and Store.Restore; every response carries Store-Era; a watch from a revision above the store's newest gets 410. Header and body are written under the same lock, so they come from the same state. A restore leaves the store's fault as it is.

--- a/fakes/store.go
+++ b/fakes/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -37,21 +38,23 @@
 }
 
 // Store is an in-memory key-value store with revisions. It serves the platform's
-// range and watch calls over HTTP.
+// range and watch calls over HTTP. Each response carries the store's era, which rises
+// by one at each restore, in the header Store-Era.
 type Store struct {
 	mu           sync.Mutex
+	era          uint64
 	rev          uint64
 	items        map[string]item
 	history      []item
 	compactedRev uint64 // history holds every change after this revision
 	fault        Fault
-	changed      chan struct{} // closed and replaced at each write, compaction and change of fault
+	changed      chan struct{} // closed and replaced at each write, compaction, restore and change of fault
 	calls        int
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{rev: 1, compactedRev: 1, items: make(map[string]item), changed: make(chan struct{})}
+	return &Store{era: 1, rev: 1, compactedRev: 1, items: make(map[string]item), changed: make(chan struct{})}
 }
 
 func (s *Store) notify() {
@@ -104,6 +107,32 @@
 	s.notify()
 }
 
+// Snapshot is a copy of the keys and the history of a Store. It is immutable.
+type Snapshot struct {
+	rev          uint64
+	items        map[string]item
+	history      []item
+	compactedRev uint64
+}
+
+// Copy returns a copy to which Restore can set back a store.
+func (s *Store) Copy() *Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Snapshot{rev: s.rev, items: maps.Clone(s.items), history: slices.Clone(s.history), compactedRev: s.compactedRev}
+}
+
+// Restore sets the store back to a copy and begins a new era. Everything written since
+// the copy is lost, and later writes get the revisions of the lost ones. A fault goes on.
+func (s *Store) Restore(c *Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.rev, s.compactedRev = c.rev, c.compactedRev
+	s.items, s.history = maps.Clone(c.items), slices.Clone(c.history)
+	s.notify()
+}
+
 // Calls returns the number of HTTP calls received.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -129,7 +158,7 @@
 	defer s.mu.Unlock()
 	switch {
 	case s.fault == Unavailable:
-		w.WriteHeader(http.StatusServiceUnavailable)
+		s.respond(w, http.StatusServiceUnavailable, nil)
 	case r.URL.Path == "/v1/kv-range":
 		s.serveRange(w, q.Get("prefix"), q.Get("after"))
 	case r.URL.Path == "/v1/kv-watch":
@@ -137,7 +166,17 @@
 		wait, _ := strconv.Atoi(q.Get("wait_ms"))
 		s.serveWatch(w, r, q.Get("prefix"), after, time.Duration(wait)*time.Millisecond)
 	default:
-		w.WriteHeader(http.StatusNotFound)
+		s.respond(w, http.StatusNotFound, nil)
+	}
+}
+
+// respond writes a response, with the body as JSON unless it is nil. The caller has held
+// s.mu since it read the body from the store, so that the era is that of the body.
+func (s *Store) respond(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+	w.WriteHeader(status)
+	if body != nil {
+		json.NewEncoder(w).Encode(body)
 	}
 }
 
@@ -157,17 +196,19 @@
 	if more {
 		page = page[:pageSize]
 	}
-	json.NewEncoder(w).Encode(map[string]any{"items": page, "has_more": more, "at": s.rev})
+	s.respond(w, http.StatusOK, map[string]any{"items": page, "has_more": more, "at": s.rev})
 }
 
 // serveWatch answers with the changes after a revision; it waits for one until
-// the wait time is over. The caller holds s.mu, which is released while waiting.
+// the wait time is over. If the store does not have the revision, because its history
+// was discarded or it was restored from an older copy, serveWatch answers 410. The
+// caller holds s.mu, which is released while waiting.
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request, prefix string, after uint64, wait time.Duration) {
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for timedOut := false; ; {
-		if after < s.compactedRev {
-			w.WriteHeader(http.StatusGone)
+		if after < s.compactedRev || after > s.rev {
+			s.respond(w, http.StatusGone, nil)
 			return
 		}
 		events := []item{}
@@ -177,7 +218,7 @@
 			}
 		}
 		if s.fault != MissedChanges && len(events) > 0 || timedOut {
-			json.NewEncoder(w).Encode(map[string]any{"events": events, "at": s.rev})
+			s.respond(w, http.StatusOK, map[string]any{"events": events, "at": s.rev})
 			return
 		}
 		changed := s.changed
