soak: the store is restored from a copy

Cause: the soak had no fault in which the store loses what it has acknowledged. Change: fault "restored". A copy is kept for 0.5 to 3 s, in which one route change is published; the store is away for 0.2 to 1 s and comes back from the copy; then the last value of every key that the operator and the servers wrote is written again within 1 s in random order, deletions too. All writes go through deployment.write, which remembers the values under the lock that the rewrite takes as well, so a newer write is never overridden. The store counts as faulty until the rewrite is complete and recoveryTime has passed. Store faults no longer overlap: the end of one ended the other too, and restores run one at a time. No check is changed or added: checkRuns already covers requests for /safe/ that are sent after that time.

--- a/cmd/soak/deployment.go
+++ b/cmd/soak/deployment.go
@@ -4,17 +4,21 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/primrosethread/primrosethread/fakes"
+	"github.com/primrosethread/primrosethread/waits"
 )
 
 // config configures one run.
@@ -78,6 +82,14 @@
 	hosts       []*host
 	version     uint64
 
+	// writeMu is held while the operator or a server writes to the store, so that the
+	// writes to a key are remembered in the order in which the store has them.
+	writeMu sync.Mutex
+	written map[string]any // value that was last written to each key, nil if it was deleted
+
+	restoreMu    sync.Mutex // held from the copy to the end of the rewrite; locked before storeFaultMu
+	storeFaultMu sync.Mutex // held during a fault of the store, which can have only one
+
 	mu              sync.Mutex
 	routes          map[string]string // service by path, as published
 	routeChanges    []routeChange     // of the path /safe/, oldest first
@@ -106,7 +118,7 @@
 }
 
 func newDeployment(c config) (*deployment, error) {
-	d := &deployment{c: c, store: fakes.NewStore(), routes: map[string]string{"/safe/": "orders", "/unsafe/": "orders", "/other/": "stock"}}
+	d := &deployment{c: c, store: fakes.NewStore(), written: make(map[string]any), routes: map[string]string{"/unsafe/": "orders", "/other/": "stock"}}
 	var err error
 	if d.folder = c.folder; d.folder == "" {
 		if d.folder, err = os.MkdirTemp("", "soak"); err != nil {
@@ -141,7 +153,7 @@
 			return nil, err
 		}
 	}
-	d.publishRoutes()
+	d.publishRoutes("orders")
 	for _, h := range d.hosts {
 		d.publishServer(h, "ready")
 		if err := d.startNode(h); err != nil {
@@ -178,10 +190,46 @@
 	return os.WriteFile(d.settingsPath(h), b, 0o644)
 }
 
-// publishRoutes writes the next version of the operator configuration to the store.
-func (d *deployment) publishRoutes() {
+// write sets a key of the store and remembers the value, or deletes the key if the value
+// is nil. The operator and the servers write only through it.
+func (d *deployment) write(key string, value any) {
+	d.writeMu.Lock()
+	defer d.writeMu.Unlock()
+	d.written[key] = value
+	d.writeRemembered(key)
+}
+
+// writeRemembered writes the last value of a key. The caller holds d.writeMu.
+func (d *deployment) writeRemembered(key string) {
+	if value := d.written[key]; value != nil {
+		d.store.Put(key, value)
+	} else {
+		d.store.Delete(key)
+	}
+}
+
+// writeAgain writes the last value of every key again, in random order within maxDuration.
+// Keys are deleted again too, since a restored copy may have them.
+func (d *deployment) writeAgain(ctx context.Context, r *rand.Rand, maxDuration time.Duration) {
+	d.writeMu.Lock()
+	keys := slices.Sorted(maps.Keys(d.written))
+	d.writeMu.Unlock()
+	r.Shuffle(len(keys), func(i, j int) { keys[i], keys[j] = keys[j], keys[i] })
+	begin, length := time.Now(), time.Duration(r.Int64N(int64(maxDuration)))
+	for i, key := range keys {
+		waits.Sleep(ctx, time.Until(begin.Add(length*time.Duration(i)/time.Duration(len(keys)))))
+		d.writeMu.Lock()
+		d.writeRemembered(key)
+		d.writeMu.Unlock()
+	}
+}
+
+// publishRoutes writes the next version of the operator configuration to the store, with
+// a route from the path /safe/ to a service.
+func (d *deployment) publishRoutes(service string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.routes["/safe/"] = service
 	d.version += 3
 	rows := [][]any{}
 	for path, service := range d.routes {
@@ -191,18 +239,28 @@
 		}
 		rows = append(rows, []any{"r" + path, "a.example", path, kind, 2000, 200, 1, service, 2})
 	}
-	d.store.Put("op/config", map[string]any{
+	d.write("op/config", map[string]any{
 		"version": fmt.Sprintf("%08x", d.version),
 		"routes":  map[string]any{"columns": []string{"name", "host", "prefix", "kind", "timeout_ms", "slo_ms", "priority", "service", "attempts"}, "rows": rows},
 		"services": map[string]any{"columns": []string{"name", "health_path", "max_conns", "warmup_s", "warmup_per_s"},
 			"rows": [][]any{{"orders", "/healthz", 100, warmUpTime.Seconds(), warmUpRate}, {"stock", "/healthz", 100, warmUpTime.Seconds(), warmUpRate}}},
 	})
-	d.routeChanges = append(d.routeChanges, routeChange{time.Now(), d.routes["/safe/"]})
+	d.routeChanges = append(d.routeChanges, routeChange{time.Now(), service})
+}
+
+// otherService returns a service to which no route leads from the path /safe/.
+func (d *deployment) otherService() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.routes["/safe/"] == "orders" {
+		return "stock"
+	}
+	return "orders"
 }
 
 // publishServer writes the store entry of a host's server.
 func (d *deployment) publishServer(h *host, state string) {
-	d.store.Put("servers/"+h.app.ID(), map[string]any{
+	d.write("servers/"+h.app.ID(), map[string]any{
 		"service": h.app.Service, "address": fmt.Sprintf("%s:%d", h.publishedIP, portServer), "zone": h.dataCentre,
 		"version": "v1", "slots": slots, "state": state, "warmup_left_ms": 0, "seq": 1, "born": time.Now().UnixMilli(),
 	})
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -60,6 +60,8 @@
 		}
 	}},
 	{"store", func(ctx context.Context, d *deployment, h *host, r *rand.Rand) {
+		d.storeFaultMu.Lock()
+		defer d.storeFaultMu.Unlock()
 		d.storeFaultUntil.Store(time.Now().Add(time.Hour).UnixNano())
 		d.store.SetFault([]fakes.Fault{fakes.Unavailable, fakes.Unresponsive, fakes.MissedChanges}[r.IntN(3)])
 		sleepFaultDuration(ctx, r)
@@ -69,6 +71,27 @@
 		d.store.SetFault(fakes.NoFault)
 		d.storeFaultUntil.Store(time.Now().Add(recoveryTime).UnixNano())
 	}},
+	{"restored", func(ctx context.Context, d *deployment, h *host, r *rand.Rand) {
+		// Restores run one at a time: a copy from before another restore has what that lost.
+		d.restoreMu.Lock()
+		defer d.restoreMu.Unlock()
+		c := d.store.Copy()
+		age := 500*time.Millisecond + time.Duration(r.IntN(2500))*time.Millisecond
+		beforeChange := time.Duration(r.Int64N(int64(age)))
+		waits.Sleep(ctx, beforeChange)
+		d.publishRoutes(d.otherService()) // the restore loses at least this change
+		waits.Sleep(ctx, age-beforeChange)
+
+		d.storeFaultMu.Lock()
+		defer d.storeFaultMu.Unlock()
+		d.storeFaultUntil.Store(time.Now().Add(time.Hour).UnixNano())
+		d.store.SetFault([]fakes.Fault{fakes.Unavailable, fakes.Unresponsive}[r.IntN(2)])
+		waits.Sleep(ctx, 200*time.Millisecond+time.Duration(r.IntN(800))*time.Millisecond)
+		d.store.Restore(c)
+		d.store.SetFault(fakes.NoFault)
+		d.writeAgain(ctx, r, time.Second)
+		d.storeFaultUntil.Store(time.Now().Add(recoveryTime).UnixNano())
+	}},
 	{"cut from store", func(ctx context.Context, d *deployment, h *host, r *rand.Rand) {
 		h.markDisturbed(time.Hour)
 		if r.IntN(2) == 0 {
@@ -102,37 +125,34 @@
 		}
 	}},
 	{"routes", func(ctx context.Context, d *deployment, h *host, r *rand.Rand) {
-		d.mu.Lock()
-		d.routes["/safe/"] = []string{"orders", "stock"}[r.IntN(2)]
-		d.mu.Unlock()
-		d.publishRoutes()
+		d.publishRoutes([]string{"orders", "stock"}[r.IntN(2)])
 	}},
 	{"evacuate", func(ctx context.Context, d *deployment, h *host, r *rand.Rand) {
 		at := time.Now()
-		d.store.Put("op/evacuate/"+h.dataCentre, struct{}{})
+		d.write("op/evacuate/"+h.dataCentre, struct{}{})
 		waits.Sleep(ctx, evacuateBound+time.Second)
 		for _, o := range d.hosts {
 			if o.dataCentre == h.dataCentre {
 				d.checkNoRequests(o, "evacuated", at, evacuateBound)
 			}
 		}
-		d.store.Delete("op/evacuate/" + h.dataCentre)
+		d.write("op/evacuate/"+h.dataCentre, nil)
 	}},
 	{"drain", func(ctx context.Context, d *deployment, h *host, r *rand.Rand) {
 		at := time.Now()
 		if r.IntN(3) == 0 {
-			d.store.Delete("servers/" + h.app.ID()) // without the state draining first
+			d.write("servers/"+h.app.ID(), nil) // without the state draining first
 		} else {
 			d.publishServer(h, "draining")
 		}
 		waits.Sleep(ctx, drainBound+time.Second)
 		d.checkNoRequests(h, "draining", at, drainBound)
-		d.store.Delete("servers/" + h.app.ID())
+		d.write("servers/"+h.app.ID(), nil)
 		h.app.Restart()
 		d.publishServer(h, "ready")
 	}},
 	{"restart server", func(ctx context.Context, d *deployment, h *host, r *rand.Rand) {
-		d.store.Delete("servers/" + h.app.ID())
+		d.write("servers/"+h.app.ID(), nil)
 		h.app.Restart()
 		d.publishServer(h, "ready")
 	}},
