--- a/mesh/loops.go
+++ b/mesh/loops.go
@@ -140,7 +140,7 @@
 			return
 		}
 		recipients := sameDataCentre
-		if s.Revision != last.Revision {
+		if s.Number != last.Number || s.Era != last.Era || s.Routes != last.Routes {
 			recipients = allHosts
 		}
 		n.peers.Publish(s, recipients)
@@ -159,7 +159,7 @@
 	isFull := func(s prim.LoadSample) bool { return s.InFlight >= s.Limit || s.Cold && s.ColdRoom == 0 }
 	hasSpike := func(s prim.LoadSample) bool { return s.Slowdown >= spikeFactor*s.Steady }
 	return isFull(a) != isFull(b) || hasSpike(a) != hasSpike(b) || a.Leaving != b.Leaving || a.Cold != b.Cold ||
-		a.Failing != b.Failing || a.Revision != b.Revision || a.Reading != b.Reading
+		a.Failing != b.Failing || a.Number != b.Number || a.Era != b.Era || a.Routes != b.Routes || a.Reading != b.Reading
 }
 
 const (
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -91,7 +91,7 @@
 	n.currentSettings.Store(s)
 	n.store = platform.NewClient(s.Store.String())
 	n.registry = platform.NewRegistry(n.store, n.log)
-	n.roster = roster.New(roster.Config{Host: s.Host, DataCentre: s.DataCentre, Logger: n.log, Guard: n.guard})
+	n.roster = roster.New(roster.Config{Host: s.Host, DataCentre: s.DataCentre, RepublishDelay: s.RepublishDelay, Logger: n.log, Guard: n.guard})
 	var err error
 	n.peers, err = peers.New(peers.Config{
 		Self:           s.Host,
@@ -233,7 +233,7 @@
 		go func(context.Context) { served <- l.server.Serve(l.listener) }(ctx)
 	}
 	ended := []<-chan error{
-		n.roster.Follow(background, n.registry, s.RepublishDelay),
+		n.roster.Follow(background, n.registry),
 		n.followPlacement(background),
 		n.checkServer(background),
 		n.publishLoad(background),
--- a/placement.go
+++ b/placement.go
@@ -57,7 +57,7 @@
 	Routes   []PathRoute
 	Services []ServiceRule
 	// Revision is the revision of the registry at which this version was published.
-	Revision uint64
+	Revision Revision
 }
 
 // ServerEntry is what a server has published about itself. It can be out of
@@ -73,7 +73,7 @@
 	// Born is the start time of the server by its own clock; zero if unknown.
 	Born time.Time
 	// Revision is the revision of the registry at which the entry last changed.
-	Revision uint64
+	Revision Revision
 }
 
 // EqualIgnoringRevision reports whether two entries are equal apart from their revisions.
@@ -92,7 +92,7 @@
 type DataCentreSwitch struct {
 	DataCentre DataCentre
 	Out        bool
-	Revision   uint64
+	Revision   Revision
 }
 
 // Placement is an immutable, indexed snapshot of the published routes, switches
--- a/ports.go
+++ b/ports.go
@@ -177,15 +177,15 @@
 }
 
 // Registry reads what operators and servers publish on a platform that reports
-// changes. Revisions count the changes to the registry as a whole.
+// changes. Revisions order the changes to the registry as a whole.
 type Registry interface {
 	// Read returns everything that is published, and its revision. A data centre
 	// without a switch is in service, and a server without an entry does not exist.
-	Read(ctx context.Context) (Published, uint64, error)
+	Read(ctx context.Context) (Published, Revision, error)
 	// Changes returns the changes after a revision as soon as there are any, or
 	// none once wait has passed, and the revision to continue from. The error is
-	// ErrHistoryGone if the registry no longer has the changes.
-	Changes(ctx context.Context, after uint64, wait time.Duration) (Published, uint64, error)
+	// ErrHistoryGone if the registry no longer has the changes, or is in another era.
+	Changes(ctx context.Context, after Revision, wait time.Duration) (Published, Revision, error)
 }
 
 // Published is the content of a Registry, or a set of changes to it.
@@ -204,5 +204,5 @@
 // Removal is the removal of a server's entry from the registry.
 type Removal struct {
 	ID       string
-	Revision uint64
+	Revision Revision
 }
--- a/request.go
+++ b/request.go
@@ -129,11 +129,14 @@
 	// delays them.
 	Cold     bool `cbor:"9,keyasint,omitempty"`
 	ColdRoom int  `cbor:"10,keyasint,omitempty"`
-	// Revision is the revision of the newest published change that the owner node
-	// knows. Age is the time since the node last knew that it was the newest; 0 if
-	// it never did.
-	Revision uint64        `cbor:"12,keyasint,omitempty"`
-	Age      time.Duration `cbor:"13,keyasint,omitempty"`
+	// Number and Era are the revision of the newest published change that the owner
+	// node knows. Era is one more than the era; 0 from nodes that don't know eras. Age is the time since the
+	// node last knew that it was the newest; 0 if it never did.
+	Number uint64        `cbor:"12,keyasint,omitempty"`
+	Era    uint64        `cbor:"17,keyasint,omitempty"`
+	Age    time.Duration `cbor:"13,keyasint,omitempty"`
+	// Routes is the version of the routes that the owner node uses.
+	Routes uint64 `cbor:"16,keyasint,omitempty"`
 	// Reading is set while that node reads the registry itself.
 	Reading bool `cbor:"15,keyasint,omitempty"`
 }
--- a/roster/apply.go
+++ b/roster/apply.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -34,10 +35,24 @@
 	at    time.Time
 }
 
-// applySnapshot replaces the state with the full registry contents at a revision.
-func (r *Roster) applySnapshot(now time.Time, s prim.Published, revision uint64) {
+// Errors of contents that make a full read necessary.
+var (
+	// errMassRemoval reports removals that indicate a registry outage.
+	errMassRemoval = errors.New("most servers were removed at once")
+	// errEarlierEra reports contents from before the registry was restored, for example
+	// in a response that was delayed.
+	errEarlierEra = errors.New("the registry returned contents of an earlier era; the read will be retried")
+)
+
+// applySnapshot replaces the state with the full registry contents at a revision. It
+// returns errEarlierEra if the state is of a later era.
+func (r *Roster) applySnapshot(now time.Time, s prim.Published, revision prim.Revision) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if revision.Era() < r.revision.Era() {
+		return errEarlierEra
+	}
+	previous := r.enterEra(now, revision)
 	r.ownEntryDisputed, r.registryLost, r.reportedRemovals, r.failedFetches = false, false, nil, 0
 	r.merge(s, 0)
 	listed := make(map[string]bool, len(s.Servers))
@@ -59,7 +74,7 @@
 	}
 	r.recentRemovals = nil
 	for id, e := range r.servers {
-		if !listed[id] && (!retaining || e.Draining) {
+		if !listed[id] && (!retaining || e.Draining || r.removedBefore(id)) {
 			r.removeServer(prim.Removal{ID: id, Revision: revision}, registrySource)
 		}
 	}
@@ -67,12 +82,16 @@
 	// This node never saw servers that were added and removed between two reads. Nodes
 	// that may have seen them are sent the full state.
 	r.removals, r.removalsFrom = nil, revision
+	if previous != nil {
+		r.keep(now, previous)
+	}
 	r.rebuild(revision, registrySource)
+	return nil
 }
 
 // endUnlisted ends the switches that a full state lacks: a data centre without a switch
 // is in service. The caller holds r.mu.
-func (r *Roster) endUnlisted(listed []prim.DataCentreSwitch, revision uint64, source string) {
+func (r *Roster) endUnlisted(listed []prim.DataCentreSwitch, revision prim.Revision, source string) {
 	for d, c := range r.switches {
 		if c.Out && !slices.ContainsFunc(listed, func(l prim.DataCentreSwitch) bool { return l.DataCentre == d }) {
 			r.setSwitch(prim.DataCentreSwitch{DataCentre: d, Revision: revision}, source)
@@ -80,15 +99,20 @@
 	}
 }
 
-// applyChanges applies changes from the registry. It reports whether so many entries
-// were removed at once that the registry must have had an outage.
-func (r *Roster) applyChanges(now time.Time, s prim.Published) (massRemoval bool) {
+// applyChanges applies the changes from the registry up to a revision. It returns
+// errMassRemoval if so many entries were removed at once that the registry must have had
+// an outage, and errEarlierEra if the state is of a later era.
+func (r *Roster) applyChanges(now time.Time, s prim.Published, upTo prim.Revision) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if upTo.Era() < r.revision.Era() {
+		return errEarlierEra
+	}
 	// Changes may be older than a full state received from another node.
 	changed, revision := r.merge(s, r.removalsFrom)
 	if now.Before(r.retainUntil) {
-		s.Removed = nil // a full read follows
+		// A full read follows.
+		s.Removed = slices.DeleteFunc(s.Removed, func(m prim.Removal) bool { return !r.removedBefore(m.ID) })
 	}
 	for _, m := range s.Removed {
 		old, known := r.servers[m.ID]
@@ -105,7 +129,10 @@
 		r.rebuild(revision, registrySource)
 	}
 	n := len(r.recentRemovals)
-	return n >= minMassRemoval && float64(n) > massRemovalShare*float64(n+len(r.servers))
+	if n >= minMassRemoval && float64(n) > massRemovalShare*float64(n+len(r.servers)) {
+		return errMassRemoval
+	}
+	return nil
 }
 
 // forgetRemovals drops the removals that are older than massRemovalWindow from the recent
@@ -119,8 +146,8 @@
 // merge applies the routes, switches and entries that are newer than the current ones.
 // An unknown server whose entry is not newer than snapshotRevision was removed before
 // that revision.
-func (r *Roster) merge(s prim.Published, snapshotRevision uint64) (changed bool, revision uint64) {
-	note := func(isNew bool, rev uint64) {
+func (r *Roster) merge(s prim.Published, snapshotRevision prim.Revision) (changed bool, revision prim.Revision) {
+	note := func(isNew bool, rev prim.Revision) {
 		if isNew {
 			changed, revision = true, max(revision, rev)
 		}
--- /dev/null
+++ b/roster/era.go
@@ -0,0 +1,148 @@
+package roster
+
+import (
+	"maps"
+	"time"
+
+	prim "github.com/primrosethread/primrosethread"
+)
+
+// A registry that is restored from a copy begins a new era. Its contents are older than
+// what this node knows until operators and servers have written again what was lost. The
+// number of an item in the new era doesn't tell whether it comes from the copy: numbers
+// are given out again. So for a while this node keeps what it knows from the previous
+// era where the new contents lack or contradict it. A change of the new era that comes
+// after its first full state was written after the restore and replaces what was kept.
+
+// overlay is what this node keeps from the previous era.
+type overlay struct {
+	until time.Time
+	// servers are entries that the new era lacks, or that it lists as not draining.
+	servers map[string]prim.ServerEntry
+	// removed are IDs that the new era lists although they were removed before.
+	removed  map[string]bool
+	switches map[prim.DataCentre]prim.DataCentreSwitch
+}
+
+// previousEra is the state of this node before it entered an era.
+type previousEra struct {
+	servers  map[string]prim.ServerEntry
+	switches map[prim.DataCentre]prim.DataCentreSwitch
+	revision prim.Revision
+}
+
+// enterEra clears the state if the revision of a full state is of a later era, and
+// returns the previous state. Routes are kept, since their versions order them across
+// eras. It returns nil if the era stays the same or nothing was known. The caller holds
+// r.mu.
+func (r *Roster) enterEra(now time.Time, revision prim.Revision) *previousEra {
+	if r.revision == 0 || revision.Era() <= r.revision.Era() {
+		return nil
+	}
+	r.log.Warn("registry was restored from a copy", "Revision", revision, "Before", r.revision)
+	previous := &previousEra{servers: r.effectiveServers(), switches: r.effectiveSwitches(), revision: r.revision}
+	if now.Before(r.retainUntil) {
+		r.forgetRemovals(now)
+		for _, m := range r.recentRemovals {
+			previous.servers[m.entry.ID] = m.entry
+		}
+	}
+	r.servers = make(map[string]prim.ServerEntry)
+	r.switches = make(map[prim.DataCentre]prim.DataCentreSwitch)
+	r.removals, r.recentRemovals, r.reportedRemovals = nil, nil, nil
+	r.retainUntil = time.Time{}
+	r.ownEntryDisputed = false
+	clear(r.retained)
+	r.overlay = nil
+	return previous
+}
+
+// keep sets the overlay after the first full state of an era has been applied. The
+// caller holds r.mu.
+func (r *Roster) keep(now time.Time, previous *previousEra) {
+	o := &overlay{
+		until:    now.Add(r.config.RepublishDelay),
+		servers:  make(map[string]prim.ServerEntry),
+		removed:  make(map[string]bool),
+		switches: make(map[prim.DataCentre]prim.DataCentreSwitch),
+	}
+	for id, before := range previous.servers {
+		e, listed := r.servers[id]
+		if !listed && !before.Draining || listed && before.Draining && !e.Draining && e.Born.Equal(before.Born) {
+			o.servers[id] = before
+		}
+	}
+	for id, e := range r.servers {
+		if _, known := previous.servers[id]; !known && previous.mayKnow(e.Revision) {
+			o.removed[id] = true
+		}
+	}
+	for d, before := range previous.switches {
+		s := r.switches[d]
+		if before.Out && !s.Out || !before.Out && s.Out && previous.mayKnow(s.Revision) {
+			o.switches[d] = before
+		}
+	}
+	r.overlay = o
+}
+
+// mayKnow reports whether an item of the new era may be one that this node knew, or
+// knew the removal of. It isn't if its number is above all that this node knew.
+func (p *previousEra) mayKnow(rev prim.Revision) bool { return rev.Number() <= p.revision.Number() }
+
+// dropKept drops what is kept of a server that was written or removed in this era. It
+// reports whether anything was kept. The caller holds r.mu.
+func (r *Roster) dropKept(id string) bool {
+	if r.overlay == nil {
+		return false
+	}
+	_, kept := r.overlay.servers[id]
+	kept = kept || r.overlay.removed[id]
+	delete(r.overlay.servers, id)
+	delete(r.overlay.removed, id)
+	return kept
+}
+
+// removedBefore reports whether a server that this era lists was removed in the previous
+// one. The caller holds r.mu.
+func (r *Roster) removedBefore(id string) bool { return r.overlay != nil && r.overlay.removed[id] }
+
+// endOverlay drops what was kept once operators and servers have had the time to write
+// it again. The removal of this host's own server has to be read from the registry.
+func (r *Roster) endOverlay(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.overlay == nil || now.Before(r.overlay.until) {
+		return
+	}
+	o := r.overlay
+	r.overlay = nil
+	for id, e := range o.servers {
+		if _, listed := r.servers[id]; !listed && e.Host == r.config.Host {
+			r.retain(e, now)
+		}
+	}
+	r.rebuild(r.revision, "end of restore")
+}
+
+// effectiveServers returns the entries in use. The caller holds r.mu.
+func (r *Roster) effectiveServers() map[string]prim.ServerEntry {
+	servers := maps.Clone(r.servers)
+	maps.Copy(servers, r.retained)
+	if r.overlay != nil {
+		maps.Copy(servers, r.overlay.servers)
+		for id := range r.overlay.removed {
+			delete(servers, id)
+		}
+	}
+	return servers
+}
+
+// effectiveSwitches returns the switches in use. The caller holds r.mu.
+func (r *Roster) effectiveSwitches() map[prim.DataCentre]prim.DataCentreSwitch {
+	switches := maps.Clone(r.switches)
+	if r.overlay != nil {
+		maps.Copy(switches, r.overlay.switches)
+	}
+	return switches
+}
--- /dev/null
+++ b/roster/era_test.go
@@ -0,0 +1,178 @@
+package roster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	prim "github.com/primrosethread/primrosethread"
+)
+
+// loseChanges makes changes that a restore from the returned copy loses. All of them are
+// known to the nodes.
+func loseChanges(g *fakeRegistry) (lost *fakeRegistry) {
+	time.Sleep(10 * time.Second)
+	lost = g.copyRegistry()
+	g.publishRoutes(2)
+	g.putEntry("i-3", true)
+	g.removeEntry("i-4")
+	g.putEntry("i-new", false)
+	g.setSwitch("b", true)
+	g.publishRoutes(3)
+	time.Sleep(reportedRemovalWindow + time.Second) // an outage doesn't revert the removal
+	return lost
+}
+
+// isInEffect reports whether a node uses what loseChanges published.
+func isInEffect(p *prim.Placement) bool {
+	return p.Routing.Version >= 3 && p.ServerByID("i-3").Draining && p.ServerByID("i-4") == nil &&
+		p.ServerByID("i-new") != nil && p.IsDataCentreOut("b")
+}
+
+// Guards against confirmed changes that are reverted, and later ones that are not
+// applied, because the registry was restored from an older copy.
+func TestChangesHoldAcrossRestore(t *testing.T) {
+	for name, outage := range map[string]time.Duration{"short outage": 0, "long outage": 2 * time.Second} {
+		// With more writes after the restore than changes that were lost, a watch from
+		// before the restore finds its revision in the new history.
+		for _, writes := range []int{0, 3, 20} {
+			t.Run(fmt.Sprint(name, ", ", writes, " writes"), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { testRestore(t, outage, writes) })
+			})
+		}
+	}
+}
+
+func testRestore(t *testing.T, outage time.Duration, writes int) {
+	is := is.New(t)
+	g := newRegistry()
+	rosters, _ := startGroup(t, g, 12)
+	old := loseChanges(g)
+	if outage > 0 {
+		g.setError(errors.New("down"))
+		time.Sleep(outage)
+		g.setError(nil)
+	}
+	g.restore(old)
+	for range writes {
+		g.update(func() {})
+	}
+	check := func(d time.Duration) {
+		for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			for _, r := range rosters {
+				is.True(isInEffect(r.Placement()))
+			}
+		}
+	}
+	check(time.Second)
+	g.setSwitch("b", true)
+	g.putEntry("i-new", false)
+	g.putEntry("i-3", true)
+	g.removeEntry("i-4")
+	g.publishRoutes(3)
+	check(10 * time.Second)
+	g.publishRoutes(4)
+	g.putEntry("i-5", true)
+	g.setSwitch("b", false)
+	time.Sleep(2 * time.Second)
+	for _, r := range rosters {
+		p := r.Placement()
+		is.Equal(p.Routing.Version, uint64(4))
+		is.True(p.ServerByID("i-5").Draining)
+		is.True(!p.IsDataCentreOut("b"))
+	}
+}
+
+// Guards against entries and switches from before a restore that are kept for ever
+// although nobody writes them again.
+func TestLostChangesEndAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRegistry()
+		rosters, _ := startGroup(t, g, 12)
+		g.restore(loseChanges(g))
+		time.Sleep(minPollAge + pollAgeJitter + republishDelay + time.Second)
+		for _, r := range rosters {
+			p := r.Placement()
+			is.Equal(p.Routing.Version, uint64(3)) // versions of the routes never go back
+			is.True(!p.ServerByID("i-3").Draining)
+			is.True(p.ServerByID("i-4") != nil)
+			is.True(p.ServerByID("i-new") == nil)
+			is.True(!p.IsDataCentreOut("b"))
+		}
+	})
+}
+
+// Guards against a node that starts after a restore, reads the older copy, and answers
+// 404 for routes that the other nodes know.
+func TestRestartAfterRestoreLearnsRoutes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRegistry()
+		rosters, _ := startGroup(t, g, 3)
+		g.restore(loseChanges(g))
+		time.Sleep(5 * time.Second)
+		r, stop := startRoster(t, g)
+		defer stop()
+		time.Sleep(time.Second)
+		is.Equal(r.Placement().Routing.Version, uint64(1))
+		is.True(r.ObserveSample(time.Now(), "host-i-0", rosters[0].Annotate(time.Now(), prim.LoadSample{})))
+		r.applyResponse(rosters[0].changesSince(r.request()), "test")
+		is.Equal(r.Placement().Routing.Version, uint64(3))
+	})
+}
+
+// Guards against nodes of this and of an earlier version, which doesn't know eras, that
+// can't take over each other's changes during an update of the fleet.
+func TestNodesWithoutEras(t *testing.T) {
+	is := is.New(t)
+	g := newRegistry()
+	g.putEntry("i-1", false)
+	g.restore(g.copyRegistry())
+	read := func() *Roster {
+		r := New(Config{RepublishDelay: republishDelay, DataCentre: "a"})
+		s, revision, _ := g.Read(t.Context())
+		is.NoErr(r.applySnapshot(epoch, s, revision))
+		return r
+	}
+	older := read()
+	g.putEntry("i-2", false)
+	newer := read()
+	sample := newer.Annotate(epoch, prim.LoadSample{})
+	sample.Era = 0
+	is.True(older.IsBehind(sample))
+	req := older.request()
+	req.Era = 0
+	resp := newer.changesSince(req)
+	for _, e := range resp.Servers {
+		is.Equal(e.Revision.Era(), uint64(0))
+	}
+	resp.Era = 0
+	older.applyResponse(resp, "test")
+	is.Equal(older.Revision(), newer.Revision())
+	is.Equal(older.Placement().Servers, newer.Placement().Servers)
+}
+
+// Guards against contents from before a restore that arrive late and replace newer ones.
+func TestEarlierEraIsRefused(t *testing.T) {
+	is := is.New(t)
+	g := newRegistry()
+	g.putEntry("i-1", false)
+	ctx := context.Background()
+	early, earlyRevision, _ := g.Read(ctx)
+	c := g.copyRegistry()
+	g.restore(c)
+	g.putEntry("i-1", true)
+	r := New(Config{RepublishDelay: republishDelay, DataCentre: "a"})
+	s, revision, _ := g.Read(ctx)
+	is.NoErr(r.applySnapshot(epoch, s, revision))
+	is.True(errors.Is(r.applySnapshot(epoch, early, earlyRevision), errEarlierEra))
+	is.True(errors.Is(r.applyChanges(epoch, early, earlyRevision), errEarlierEra))
+	is.True(r.Placement().ServerByID("i-1").Draining)
+	is.Equal(r.Revision(), revision)
+}
--- a/roster/follow.go
+++ b/roster/follow.go
@@ -44,22 +44,20 @@
 
 // reader follows the registry for one node.
 type reader struct {
-	roster         *Roster
-	registry       prim.Registry
-	republishDelay time.Duration
-	started        time.Time
-	revision       uint64    // the state is complete up to it; 0 if a full read is needed
-	answeredAt     time.Time // time of the last successful registry call
-	lostAt         time.Time
-	retryDelay     time.Duration
+	roster     *Roster
+	registry   prim.Registry
+	started    time.Time
+	revision   prim.Revision // the state is complete up to it; 0 if a full read is needed
+	answeredAt time.Time     // time of the last successful registry call
+	lostAt     time.Time
+	retryDelay time.Duration
 }
 
 // Follow reads the registry until the context ends, and then sends the context's error
-// on the channel. RepublishDelay is the time after a registry outage within which live
-// servers have published their entries again.
-func (r *Roster) Follow(ctx context.Context, registry prim.Registry, republishDelay time.Duration) <-chan error {
+// on the channel.
+func (r *Roster) Follow(ctx context.Context, registry prim.Registry) <-chan error {
 	ended := make(chan error, 1)
-	rd := &reader{roster: r, registry: registry, republishDelay: republishDelay, started: time.Now()}
+	rd := &reader{roster: r, registry: registry, started: time.Now()}
 	go func() {
 		for ctx.Err() == nil {
 			// A panic, for example by published bytes that a decoder does not expect,
@@ -76,6 +74,7 @@
 
 // step does a full read, runs one watch, or waits while this node need not read.
 func (rd *reader) step(ctx context.Context) {
+	rd.roster.endOverlay(time.Now())
 	reads, primary := rd.roster.shouldRead(time.Now(), rd.started)
 	if rd.roster.mustRead() {
 		rd.revision = 0
@@ -102,9 +101,6 @@
 	rd.backOff(ctx, err)
 }
 
-// errMassRemoval reports removals that indicate a registry outage.
-var errMassRemoval = errors.New("most servers were removed at once")
-
 // backOff waits after a failed read, with an exponential delay. A node that is not a
 // primary reader waits longer and leaves the retries to the primary readers.
 func (rd *reader) backOff(ctx context.Context, err error) {
@@ -120,6 +116,7 @@
 	}
 	for end := time.Now().Add(delay); ctx.Err() == nil && time.Now().Before(end); {
 		waits.Sleep(ctx, min(selectionInterval, time.Until(end)))
+		rd.roster.endOverlay(time.Now())
 		if rd.roster.hasState() && rd.roster.enoughOtherReaders(time.Now()) && !rd.roster.mustRead() {
 			break
 		}
@@ -140,11 +137,13 @@
 	}
 	if !rd.lostAt.IsZero() {
 		rd.roster.log.Info("registry regained", "After", begin.Sub(rd.lostAt))
-		rd.roster.retainMissing(begin.Add(rd.republishDelay))
+		rd.roster.retainMissing(begin.Add(rd.roster.config.RepublishDelay))
 		rd.lostAt, rd.retryDelay = time.Time{}, 0
 	}
+	if err := rd.roster.applySnapshot(begin, snapshot, revision); err != nil {
+		return err
+	}
 	rd.revision, rd.answeredAt = revision, begin
-	rd.roster.applySnapshot(begin, snapshot, revision)
 	rd.roster.confirm(begin)
 	return nil
 }
@@ -152,7 +151,7 @@
 // watchResult is the result of a watch.
 type watchResult struct {
 	changes  prim.Published
-	revision uint64
+	revision prim.Revision
 	err      error
 }
 
@@ -229,6 +228,7 @@
 
 // checkWatch checks a watch in progress. It reports whether the watch is to be ended.
 func (rd *reader) checkWatch(ctx context.Context, now time.Time, w *watch) (done bool, err error) {
+	rd.roster.endOverlay(now)
 	if reads, _ := rd.roster.shouldRead(now, rd.started); !reads && now.Sub(w.startedAt) > minSubstituteTime {
 		return true, nil
 	}
@@ -262,12 +262,15 @@
 // applyResult applies the changes that a watch or a poll returned.
 func (rd *reader) applyResult(result watchResult) error {
 	now := time.Now()
-	rd.revision, rd.answeredAt = max(rd.revision, result.revision), now
-	if rd.roster.applyChanges(now, result.changes) {
-		rd.roster.log.Warn("most servers were removed at once; their entries are kept for a while", "For", rd.republishDelay)
-		rd.roster.retainMissing(now.Add(rd.republishDelay))
-		return errMassRemoval
+	err := rd.roster.applyChanges(now, result.changes, result.revision)
+	if errors.Is(err, errMassRemoval) {
+		rd.roster.log.Warn("most servers were removed at once; their entries are kept for a while", "For", rd.roster.config.RepublishDelay)
+		rd.roster.retainMissing(now.Add(rd.roster.config.RepublishDelay))
 	}
+	if err != nil {
+		return err
+	}
+	rd.revision, rd.answeredAt = max(rd.revision, result.revision), now
 	rd.roster.confirm(now)
 	return nil
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -4,6 +4,7 @@
 package roster
 
 import (
+	"cmp"
 	"log/slog"
 	"maps"
 	"slices"
@@ -20,7 +21,10 @@
 	// Host and DataCentre are those of this node.
 	Host       prim.HostName
 	DataCentre prim.DataCentre
-	Logger     *slog.Logger
+	// RepublishDelay is the time after an outage or a restore of the registry within
+	// which live servers and operators have published their entries again.
+	RepublishDelay time.Duration
+	Logger         *slog.Logger
 	// Guard contains panics of the reader; nil uses a new one.
 	Guard *guard.Guard
 }
@@ -38,9 +42,9 @@
 	servers   map[string]prim.ServerEntry // by id
 	// removals are the removals with a revision above removalsFrom, oldest first.
 	removals     []prim.Removal
-	removalsFrom uint64
+	removalsFrom prim.Revision
 	// revision is that of the newest change; the state is complete up to it.
-	revision          uint64
+	revision          prim.Revision
 	routingReceivedAt time.Time
 	confirmedAt       time.Time                   // when the state was last known to be current
 	retainUntil       time.Time                   // missing entries are retained until then
@@ -53,6 +57,7 @@
 	retained          map[string]prim.ServerEntry // removed according to other nodes, kept here
 	peers             map[prim.HostName]peerState
 	selection         readerSelection
+	overlay           *overlay        // kept from the previous era; nil if nothing is
 	digestPlacement   *prim.Placement // the placement that digestValue belongs to
 	digestValue       uint64
 }
@@ -92,7 +97,7 @@
 }
 
 // Revision returns the revision of the newest known change.
-func (r *Roster) Revision() uint64 {
+func (r *Roster) Revision() prim.Revision {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	return r.revision
@@ -113,22 +118,24 @@
 }
 
 // rebuild builds a new placement after a change at a revision. The caller holds r.mu.
-func (r *Roster) rebuild(revision uint64, source string) {
+func (r *Roster) rebuild(revision prim.Revision, source string) {
 	r.log.Info("published state changed", "Revision", revision, "Before", r.revision, "Routes", r.routing.Version,
 		"Servers", len(r.servers), "ServersBefore", len(r.placement.Servers), "Source", source)
 	r.revision = max(r.revision, revision)
-	switches := slices.SortedFunc(maps.Values(r.switches), func(a, b prim.DataCentreSwitch) int {
-		return int(a.Revision) - int(b.Revision)
-	})
-	listed := slices.AppendSeq(slices.Collect(maps.Values(r.servers)), maps.Values(r.retained))
-	servers := slices.SortedFunc(slices.Values(listed), func(a, b prim.ServerEntry) int {
+	servers := slices.SortedFunc(maps.Values(r.effectiveServers()), func(a, b prim.ServerEntry) int {
 		return strings.Compare(a.ID, b.ID)
 	})
-	r.placement = prim.NewPlacement(r.routing, switches, servers)
+	r.placement = prim.NewPlacement(r.routing, sortSwitches(r.effectiveSwitches()), servers)
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
 
+func sortSwitches(switches map[prim.DataCentre]prim.DataCentreSwitch) []prim.DataCentreSwitch {
+	return slices.SortedFunc(maps.Values(switches), func(a, b prim.DataCentreSwitch) int {
+		return cmp.Compare(a.Revision, b.Revision)
+	})
+}
+
 // SetRouting applies a version of the routes. It returns false for a version that is
 // not above the current one. Source is where the version came from, for the log.
 func (r *Roster) SetRouting(v prim.Routing, source string) bool {
@@ -168,6 +175,9 @@
 		return false
 	}
 	r.switches[s.DataCentre] = s
+	if r.overlay != nil {
+		delete(r.overlay.switches, s.DataCentre)
+	}
 	if old.Out != s.Out {
 		r.log.Info("data centre switched", "DataCentre", s.DataCentre, "Out", s.Out, "Revision", s.Revision, "Source", source)
 	}
@@ -183,7 +193,7 @@
 	}
 	r.servers[e.ID] = e
 	delete(r.retained, e.ID)
-	if known && old.EqualIgnoringRevision(&e) {
+	if !r.dropKept(e.ID) && known && old.EqualIgnoringRevision(&e) {
 		return false
 	}
 	r.log.Debug("server listed", "Server", e.ID, "Service", e.Service, "Target", e.Host, "Draining", e.Draining, "Revision", e.Revision, "Source", source)
@@ -202,7 +212,9 @@
 		return false
 	}
 	delete(r.servers, m.ID)
-	if known && !old.Draining && source != registrySource {
+	removedBefore := r.removedBefore(m.ID)
+	r.dropKept(m.ID)
+	if known && !removedBefore && !old.Draining && source != registrySource {
 		r.retain(old, time.Now())
 	}
 	r.removals = append(r.removals, m)
@@ -215,7 +227,7 @@
 }
 
 // removalRevision returns the revision of a server's removal, 0 if none is known.
-func (r *Roster) removalRevision(id string) uint64 {
+func (r *Roster) removalRevision(id string) prim.Revision {
 	for _, m := range slices.Backward(r.removals) {
 		if m.ID == id {
 			return m.Revision
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -20,18 +22,19 @@
 // when told to.
 type fakeRegistry struct {
 	mu            sync.Mutex
-	revision      uint64
+	revision      prim.Revision
 	routing       prim.Routing
 	entries       map[string]prim.ServerEntry
+	switches      map[prim.DataCentre]prim.DataCentreSwitch
 	removed       []prim.Removal
-	historyStart  uint64 // history before this revision is dropped
+	historyStart  prim.Revision // history before this revision is dropped
 	err           error
 	watchesSilent bool // watches that wait see no changes
 	calls         int
 }
 
 func newRegistry() *fakeRegistry {
-	return &fakeRegistry{revision: 1, historyStart: 1, routing: prim.Routing{Version: 1, Revision: 1}, entries: make(map[string]prim.ServerEntry)}
+	return &fakeRegistry{revision: 1, historyStart: 1, routing: prim.Routing{Version: 1, Revision: 1}, entries: make(map[string]prim.ServerEntry), switches: make(map[prim.DataCentre]prim.DataCentreSwitch)}
 }
 
 func (g *fakeRegistry) update(f func()) {
@@ -58,6 +61,44 @@
 	})
 }
 
+func (g *fakeRegistry) setSwitch(d prim.DataCentre, out bool) {
+	g.update(func() {
+		g.switches[d] = prim.DataCentreSwitch{DataCentre: d, Out: out, Revision: g.revision}
+	})
+}
+
+// copyRegistry returns a copy of the registry's contents.
+func (g *fakeRegistry) copyRegistry() *fakeRegistry {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return &fakeRegistry{revision: g.revision, routing: g.routing, entries: maps.Clone(g.entries), switches: maps.Clone(g.switches)}
+}
+
+// restore replaces the contents by those of a copy and begins the next era.
+func (g *fakeRegistry) restore(c *fakeRegistry) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	era := g.revision.Era() + 1
+	inEra := func(rev prim.Revision) prim.Revision {
+		rev, err := prim.NewRevision(era, rev.Number())
+		if err != nil {
+			panic(err)
+		}
+		return rev
+	}
+	c = c.copyRegistry()
+	g.routing, g.entries, g.switches, g.removed = c.routing, c.entries, c.switches, nil
+	g.revision, g.historyStart, g.routing.Revision = inEra(c.revision), inEra(c.revision), inEra(c.routing.Revision)
+	for id, e := range g.entries {
+		e.Revision = inEra(e.Revision)
+		g.entries[id] = e
+	}
+	for d, s := range g.switches {
+		s.Revision = inEra(s.Revision)
+		g.switches[d] = s
+	}
+}
+
 func (g *fakeRegistry) callCount() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -67,7 +108,7 @@
 func (g *fakeRegistry) setError(err error) { g.update(func() { g.err = err }) }
 
 // changesSince returns the changes after a revision. The caller holds g.mu.
-func (g *fakeRegistry) changesSince(after uint64) (s prim.Published) {
+func (g *fakeRegistry) changesSince(after prim.Revision) (s prim.Published) {
 	if g.routing.Revision > after {
 		v := g.routing
 		s.Routing = &v
@@ -77,6 +118,11 @@
 			s.Servers = append(s.Servers, e)
 		}
 	}
+	for _, c := range g.switches {
+		if c.Revision > after {
+			s.Switches = append(s.Switches, c)
+		}
+	}
 	for _, m := range g.removed {
 		if _, back := g.entries[m.ID]; m.Revision > after && !back {
 			s.Removed = append(s.Removed, m)
@@ -85,16 +131,17 @@
 	return s
 }
 
-func (g *fakeRegistry) Read(context.Context) (prim.Published, uint64, error) {
+func (g *fakeRegistry) Read(context.Context) (prim.Published, prim.Revision, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.calls++
 	s := g.changesSince(0)
 	s.Removed = nil
+	s.Switches = slices.DeleteFunc(s.Switches, func(c prim.DataCentreSwitch) bool { return !c.Out })
 	return s, g.revision, g.err
 }
 
-func (g *fakeRegistry) Changes(ctx context.Context, after uint64, d time.Duration) (prim.Published, uint64, error) {
+func (g *fakeRegistry) Changes(ctx context.Context, after prim.Revision, d time.Duration) (prim.Published, prim.Revision, error) {
 	g.mu.Lock()
 	g.calls++
 	g.mu.Unlock()
@@ -123,9 +170,9 @@
 
 // startRoster starts a roster that receives no samples from other nodes.
 func startRoster(t *testing.T, g *fakeRegistry) (r *Roster, stop func()) {
-	r = New(Config{Host: "host-i-1", DataCentre: "a"})
+	r = New(Config{RepublishDelay: republishDelay, Host: "host-i-1", DataCentre: "a"})
 	ctx, cancel := context.WithCancel(t.Context())
-	ended := r.Follow(ctx, g, republishDelay)
+	ended := r.Follow(ctx, g)
 	return r, func() {
 		cancel()
 		<-ended
@@ -136,14 +183,15 @@
 // deliver versions.
 func TestVersionsNeverGoBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		r := New(Config{})
-		var routes, revision uint64
+		r := New(Config{RepublishDelay: republishDelay})
+		var routes uint64
+		var revision prim.Revision
 		out := false
 		for range 50 {
 			v := rapid.Uint64Range(1, 20).Draw(t, "version")
 			r.SetRouting(prim.Routing{Version: v}, "test")
 			routes = max(routes, v)
-			s := prim.DataCentreSwitch{DataCentre: "a", Out: rapid.Bool().Draw(t, "out"), Revision: rapid.Uint64Range(1, 100).Draw(t, "revision")}
+			s := prim.DataCentreSwitch{DataCentre: "a", Out: rapid.Bool().Draw(t, "out"), Revision: prim.Revision(rapid.Uint64Range(1, 100).Draw(t, "revision"))}
 			if s.Revision > revision {
 				revision, out = s.Revision, s.Out
 			}
@@ -269,14 +317,14 @@
 	reads, watches atomic.Int64
 }
 
-func (g *panickingRegistry) Read(ctx context.Context) (prim.Published, uint64, error) {
+func (g *panickingRegistry) Read(ctx context.Context) (prim.Published, prim.Revision, error) {
 	if g.reads.Add(1) == 1 {
 		panic("read")
 	}
 	return g.fakeRegistry.Read(ctx)
 }
 
-func (g *panickingRegistry) Changes(ctx context.Context, after uint64, wait time.Duration) (prim.Published, uint64, error) {
+func (g *panickingRegistry) Changes(ctx context.Context, after prim.Revision, wait time.Duration) (prim.Published, prim.Revision, error) {
 	if g.watches.Add(1) == 1 {
 		panic("watch")
 	}
@@ -313,9 +361,9 @@
 		is := is.New(t)
 		g := &panickingRegistry{fakeRegistry: newRegistry()}
 		g.putEntry("1", false)
-		r := New(Config{Host: "host-1", DataCentre: "a"})
+		r := New(Config{RepublishDelay: republishDelay, Host: "host-1", DataCentre: "a"})
 		ctx, cancel := context.WithCancel(t.Context())
-		ended := r.Follow(ctx, g, time.Second)
+		ended := r.Follow(ctx, g)
 		time.Sleep(5 * time.Second)
 		g.publishRoutes(2)
 		time.Sleep(5 * time.Second)
--- a/roster/selection_test.go
+++ b/roster/selection_test.go
@@ -24,9 +24,9 @@
 	for i := range n {
 		id := fmt.Sprint("i-", i)
 		g.putEntry(id, false)
-		r := New(Config{Host: prim.HostName("host-" + id), DataCentre: "a"})
+		r := New(Config{RepublishDelay: republishDelay, Host: prim.HostName("host-" + id), DataCentre: "a"})
 		rosters = append(rosters, r)
-		ended = append(ended, r.Follow(ctx, g, republishDelay))
+		ended = append(ended, r.Follow(ctx, g))
 	}
 	exchanged := make(chan struct{})
 	go func(ctx context.Context) {
@@ -149,7 +149,7 @@
 	listeners := make(map[prim.HostName]int)
 	primaries := 0
 	for i := range hosts {
-		r := New(Config{Host: prim.HostName(fmt.Sprint("host-i-", i)), DataCentre: "a"})
+		r := New(Config{RepublishDelay: republishDelay, Host: prim.HostName(fmt.Sprint("host-i-", i)), DataCentre: "a"})
 		r.applySnapshot(epoch, s, revision)
 		is.Equal(len(r.Readers()), readersPerNode)
 		for _, h := range r.Readers() {
--- a/roster/share.go
+++ b/roster/share.go
@@ -35,19 +35,24 @@
 
 // stateRequest is the body of a KindState request.
 type stateRequest struct {
-	Revision       uint64 `cbor:"1,keyasint"`
+	Number         uint64 `cbor:"1,keyasint"` // of the sender's revision
 	RoutingVersion uint64 `cbor:"2,keyasint"` // version of the sender's routes
 	Digest         uint64 `cbor:"3,keyasint"` // of the sender's entries
 	// Inflates is set by senders that accept a deflated response.
 	Inflates bool `cbor:"4,keyasint,omitempty"`
+	// Era is one more than that of the sender's revision; 0 from nodes that don't know
+	// eras.
+	Era uint64 `cbor:"5,keyasint,omitempty"`
 }
 
-// stateResponse is the body of the answer to a stateRequest.
+// stateResponse is the body of the answer to a stateRequest. Nodes of earlier versions
+// don't know eras, so all revisions in it are numbers in one era.
 type stateResponse struct {
-	Revision     uint64                  `cbor:"1,keyasint"`
-	Complete     bool                    `cbor:"2,keyasint"` // Servers lists all entries
-	EntriesEqual bool                    `cbor:"7,keyasint"` // the requester has the same entries
-	Routing      *prim.Routing           `cbor:"3,keyasint"` // nil if the requester has it
+	Number       uint64                  `cbor:"1,keyasint"`           // of the sender's revision
+	Era          uint64                  `cbor:"8,keyasint,omitempty"` // as in stateRequest
+	Complete     bool                    `cbor:"2,keyasint"`           // Servers lists all entries
+	EntriesEqual bool                    `cbor:"7,keyasint"`           // the requester has the same entries
+	Routing      *prim.Routing           `cbor:"3,keyasint"`           // nil if the requester has it
 	Switches     []prim.DataCentreSwitch `cbor:"4,keyasint"`
 	Servers      []prim.ServerEntry      `cbor:"5,keyasint"`
 	Removed      []prim.Removal          `cbor:"6,keyasint"`
@@ -71,22 +76,29 @@
 func (r *Roster) changesSince(req stateRequest) stateResponse {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	resp := stateResponse{Revision: r.revision, Complete: req.Revision < r.removalsFrom, Switches: r.placement.Switches}
-	if resp.Complete && req.Digest == r.digest() {
+	known := r.revisionOf(req.Era, req.Number)
+	resp := stateResponse{Number: r.revision.Number(), Era: r.revision.Era() + 1, Complete: known < r.removalsFrom, Switches: sortSwitches(r.switches)}
+	for i, c := range resp.Switches {
+		resp.Switches[i].Revision = numberOnly(c.Revision)
+	}
+	if resp.Complete && known.Era() == r.revision.Era() && req.Digest == r.digest() {
 		resp.Complete, resp.EntriesEqual = false, true
 	}
 	if r.routing.Version > req.RoutingVersion {
 		routing := r.routing // the response is encoded without the lock
+		routing.Revision = numberOnly(routing.Revision)
 		resp.Routing = &routing
 	}
 	for _, e := range r.servers {
-		if resp.Complete || !resp.EntriesEqual && e.Revision > req.Revision {
+		if resp.Complete || !resp.EntriesEqual && e.Revision > known {
+			e.Revision = numberOnly(e.Revision)
 			resp.Servers = append(resp.Servers, e)
 		}
 	}
 	if !resp.Complete && !resp.EntriesEqual {
 		for _, m := range r.removals {
-			if m.Revision > req.Revision {
+			if m.Revision > known {
+				m.Revision = numberOnly(m.Revision)
 				resp.Removed = append(resp.Removed, m)
 			}
 		}
@@ -137,7 +149,7 @@
 func (r *Roster) request() stateRequest {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return stateRequest{r.revision, r.routing.Version, r.digest(), true}
+	return stateRequest{r.revision.Number(), r.routing.Version, r.digest(), true, r.revision.Era() + 1}
 }
 
 // digest returns a sum over the entries that depends neither on their order nor on
@@ -166,40 +178,71 @@
 func (r *Roster) applyResponse(resp stateResponse, source string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if resp.Revision <= r.revision {
-		return
-	}
+	revision := r.revisionOf(resp.Era, resp.Number)
 	if resp.Routing != nil {
-		r.setRouting(*resp.Routing, source)
+		resp.Routing.Revision = r.revisionOf(resp.Era, uint64(resp.Routing.Revision))
 	}
+	newRoutes := resp.Routing != nil && r.setRouting(*resp.Routing, source)
+	if revision <= r.revision || revision.Era() > r.revision.Era() && !resp.Complete {
+		if newRoutes {
+			r.rebuild(r.revision, source)
+		}
+		return
+	}
+	now := time.Now()
+	previous := r.enterEra(now, revision)
 	for _, c := range resp.Switches {
+		c.Revision = r.revisionOf(revision.Era()+1, uint64(c.Revision))
 		r.setSwitch(c, source)
 	}
 	for _, m := range resp.Removed {
+		m.Revision = r.revisionOf(revision.Era()+1, uint64(m.Revision))
 		r.removeServer(m, source)
 	}
 	for _, e := range resp.Servers {
+		e.Revision = r.revisionOf(revision.Era()+1, uint64(e.Revision))
 		r.setServer(e, source)
 	}
 	if resp.Complete {
 		for id := range r.servers {
 			if !slices.ContainsFunc(resp.Servers, func(e prim.ServerEntry) bool { return e.ID == id }) {
-				r.removeServer(prim.Removal{ID: id, Revision: resp.Revision}, source)
+				r.removeServer(prim.Removal{ID: id, Revision: revision}, source)
 			}
 		}
 	}
 	if resp.Complete || resp.EntriesEqual {
-		r.endUnlisted(resp.Switches, resp.Revision, source)
-		r.removals, r.removalsFrom = nil, resp.Revision
+		r.endUnlisted(resp.Switches, revision, source)
+		r.removals, r.removalsFrom = nil, revision
+	}
+	if previous != nil {
+		r.keep(now, previous)
+	}
+	r.rebuild(revision, source)
+}
+
+// revisionOf returns a revision that another node sent as a number and one more than
+// its era. If era is 0, it is this node's era. The revision is 0, below all others, if it
+// is out of range. The caller holds r.mu.
+func (r *Roster) revisionOf(era, number uint64) prim.Revision {
+	if era == 0 {
+		era = r.revision.Era() + 1
+	}
+	revision, err := prim.NewRevision(era-1, number)
+	if err != nil {
+		r.log.Warn("another node sent an invalid revision", "Error", err)
+		return 0
 	}
-	r.rebuild(resp.Revision, source)
+	return revision
 }
 
+// numberOnly returns a revision without its era, for nodes that don't know eras.
+func numberOnly(rev prim.Revision) prim.Revision { return prim.Revision(rev.Number()) }
+
 // Annotate adds the revision and age of this node's state to a sample.
 func (r *Roster) Annotate(now time.Time, s prim.LoadSample) prim.LoadSample {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	s.Revision, s.Reading = r.revision, r.reading
+	s.Number, s.Era, s.Routes, s.Reading = r.revision.Number(), r.revision.Era()+1, r.routing.Version, r.reading
 	if !r.confirmedAt.IsZero() {
 		s.Age = max(1, now.Sub(r.confirmedAt))
 	}
@@ -212,14 +255,24 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.peers[h] = peerState{now, s.Reading}
-	if s.Revision == r.revision && r.revision > 0 && s.Age > 0 {
+	if r.revisionOf(s.Era, s.Number) == r.revision && r.revision > 0 && s.Age > 0 {
 		r.confirmLocked(now.Add(-s.Age))
 	}
-	return s.Revision > r.revision
+	return r.isBehind(s)
 }
 
 // IsBehind reports whether the sender of a sample has newer state.
-func (r *Roster) IsBehind(s prim.LoadSample) bool { return s.Revision > r.Revision() }
+func (r *Roster) IsBehind(s prim.LoadSample) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.isBehind(s)
+}
+
+// isBehind is IsBehind for a caller that holds r.mu. After a restore of the registry the
+// routes of another node may be newer although its revision is not.
+func (r *Roster) isBehind(s prim.LoadSample) bool {
+	return r.revisionOf(s.Era, s.Number) > r.revision || s.Routes > r.routing.Version
+}
 
 // confirmLocked records that the state was current at a time. The caller holds r.mu.
 func (r *Roster) confirmLocked(at time.Time) {
--- a/roster/share_test.go
+++ b/roster/share_test.go
@@ -20,33 +20,35 @@
 )
 
 // Guards against entries that a node wrongly keeps or drops when it applies another
-// node's state. In any order of changes, reads and requests between nodes, a node that
-// has fetched from one with a higher revision has the same state as the registry.
+// node's state. In any order of changes, restores, reads and requests between nodes, a
+// node that has fetched from one with a higher revision has the same state as the
+// registry, once what it kept from before a restore has ended.
 func TestStatesConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := newRegistry()
 		rosters := make([]*Roster, 4)
-		revisions := make([]uint64, len(rosters)) // of the watches; 0 before a full read
-		var inFlight []func()                     // responses of other nodes not yet applied
-		watches := make([]func(), len(rosters))   // watch results not yet applied
+		revisions := make([]prim.Revision, len(rosters)) // of the watches; 0 before a full read
+		var inFlight []func()                            // responses of other nodes not yet applied
+		watches := make([]func(), len(rosters))          // watch results not yet applied
+		backup := g.copyRegistry()
 		for i := range rosters {
-			rosters[i] = New(Config{DataCentre: "a"})
+			rosters[i] = New(Config{RepublishDelay: republishDelay, DataCentre: "a"})
 		}
 		now := epoch
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Second)
 			i := rapid.IntRange(0, len(rosters)-1).Draw(t, "node")
 			r := rosters[i]
-			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			switch rapid.IntRange(0, 12).Draw(t, "what") {
 			case 6:
 				o := rosters[rapid.IntRange(0, len(rosters)-1).Draw(t, "other")]
 				req := r.request()
 				s := o.changesSince(req)
 				inFlight = append(inFlight, func() { r.applyResponse(s, "test") })
 			case 7:
-				if revisions[i] > 0 && watches[i] == nil {
+				if revisions[i] > 0 && revisions[i].Era() == g.revision.Era() && watches[i] == nil {
 					s, seen := g.changesSince(revisions[i]), g.revision
-					watches[i] = func() { r.applyChanges(now, s); revisions[i] = max(revisions[i], seen) }
+					watches[i] = func() { r.applyChanges(now, s, seen); revisions[i] = max(revisions[i], seen) }
 				}
 			case 9:
 				if watches[i] != nil {
@@ -58,6 +60,12 @@
 					inFlight[0]()
 					inFlight = inFlight[1:]
 				}
+			case 10:
+				g.setSwitch("b", rapid.Bool().Draw(t, "out"))
+			case 11:
+				backup = g.copyRegistry()
+			case 12:
+				g.restore(backup)
 			case 0:
 				g.putEntry(fmt.Sprint("i-", rapid.IntRange(0, 9).Draw(t, "id")), rapid.Bool().Draw(t, "draining"))
 			case 1:
@@ -69,8 +77,8 @@
 				r.applySnapshot(now, s, seen)
 				revisions[i], watches[i] = seen, nil
 			case 4:
-				if revisions[i] > 0 && watches[i] == nil {
-					r.applyChanges(now, g.changesSince(revisions[i]))
+				if revisions[i] > 0 && revisions[i].Era() == g.revision.Era() && watches[i] == nil {
+					r.applyChanges(now, g.changesSince(revisions[i]), g.revision)
 					revisions[i] = g.revision
 				}
 			case 5:
@@ -84,21 +92,29 @@
 				f()
 			}
 		}
+		g.publishRoutes(1000)
 		// Node 0 does a full read; the others continue their watches or fetch from it.
 		s, seen, _ := g.Read(context.Background())
 		rosters[0].applySnapshot(now, s, seen)
 		for i, r := range rosters {
-			if revisions[i] > 0 {
-				r.applyChanges(now, g.changesSince(revisions[i]))
-				continue
+			if revisions[i] > 0 && revisions[i].Era() == g.revision.Era() {
+				r.applyChanges(now, g.changesSince(revisions[i]), g.revision)
+			} else {
+				req := r.request()
+				r.applyResponse(rosters[0].changesSince(req), "test")
 			}
-			req := r.request()
-			r.applyResponse(rosters[0].changesSince(req), "test")
+			r.endOverlay(time.Now().Add(time.Hour))
 		}
 		for i, r := range rosters {
 			if r.routing.Version != g.routing.Version || len(r.servers) != len(g.entries) {
 				t.Fatalf("node %d has version %d and %d servers; published are %d and %d", i, r.routing.Version, len(r.servers), g.routing.Version, len(g.entries))
 			}
+			if out := r.Placement().IsDataCentreOut("b"); out != g.switches["b"].Out {
+				t.Fatalf("node %d has out = %v for the data centre", i, out)
+			}
+			if n := len(r.Placement().Servers); n != len(g.entries) {
+				t.Fatalf("node %d uses %d servers; published are %d", i, n, len(g.entries))
+			}
 			for id, e := range g.entries {
 				if v := r.servers[id]; !v.EqualIgnoringRevision(&e) {
 					t.Fatalf("node %d has %v of server %s; published is %v", i, v, id, e)
@@ -112,13 +128,13 @@
 // while it is encoded.
 func TestResponseHoldsOneVersionOfRoutes(t *testing.T) {
 	is := is.New(t)
-	r := New(Config{DataCentre: "a"})
+	r := New(Config{RepublishDelay: republishDelay, DataCentre: "a"})
 	publish := func(version uint64) {
 		routes := make([]prim.PathRoute, 100+version%7*50)
 		for i := range routes {
 			routes[i] = prim.PathRoute{Name: fmt.Sprint(version), Authority: "a.example", Prefix: fmt.Sprintf("/%d/", i), Targets: []prim.Target{{Service: "s", Weight: 1}}}
 		}
-		r.SetRouting(prim.Routing{Version: version, Routes: routes, Revision: version}, "test")
+		r.SetRouting(prim.Routing{Version: version, Routes: routes, Revision: prim.Revision(version)}, "test")
 	}
 	publish(1)
 	request, err := encoding.Marshal(stateRequest{})
@@ -140,7 +156,7 @@
 		is.NoErr(err)
 		var resp stateResponse
 		is.NoErr(cbor.Unmarshal(m.Body, &resp))
-		is.Equal(resp.Routing.Revision, resp.Routing.Version)
+		is.Equal(resp.Routing.Revision, prim.Revision(resp.Routing.Version))
 		is.Equal(len(resp.Routing.Routes), int(100+resp.Routing.Version%7*50))
 		for _, v := range resp.Routing.Routes {
 			is.Equal(v.Name, fmt.Sprint(resp.Routing.Version))
@@ -160,7 +176,7 @@
 			Timeout: 1500 * time.Millisecond, Objective: 600 * time.Millisecond, Priority: 2, Attempts: 2,
 		}
 	}
-	from, to := New(Config{DataCentre: "a"}), New(Config{DataCentre: "a"})
+	from, to := New(Config{RepublishDelay: republishDelay, DataCentre: "a"}), New(Config{RepublishDelay: republishDelay, DataCentre: "a"})
 	from.SetRouting(prim.Routing{Version: 1, Routes: routes, Revision: 1}, "test")
 	is.NoErr(to.Fetch(t.Context(), messages{to: from}, "host-1"))
 	is.Equal(to.Placement().Routing.Routes, routes)
@@ -197,7 +213,7 @@
 // Guards against a node of an earlier version that gets a state it can't decode.
 func TestStateIsDeflatedOnlyOnRequest(t *testing.T) {
 	is := is.New(t)
-	r := New(Config{DataCentre: "a"})
+	r := New(Config{RepublishDelay: republishDelay, DataCentre: "a"})
 	r.SetRouting(prim.Routing{Version: 1, Revision: 1, Routes: make([]prim.PathRoute, 1000)}, "test")
 	request, err := encoding.Marshal(stateRequest{})
 	is.NoErr(err)
@@ -218,7 +234,7 @@
 		g.putEntry(fmt.Sprint("i-", i), false)
 	}
 	read := func() *Roster {
-		r := New(Config{DataCentre: "a"})
+		r := New(Config{RepublishDelay: republishDelay, DataCentre: "a"})
 		s, at, _ := g.Read(context.Background())
 		r.applySnapshot(epoch, s, at)
 		return r
@@ -241,7 +257,7 @@
 	is := is.New(t)
 	g := newRegistry()
 	g.putEntry("i-1", false)
-	behind, restarted := New(Config{DataCentre: "a"}), New(Config{DataCentre: "a"})
+	behind, restarted := New(Config{RepublishDelay: republishDelay, DataCentre: "a"}), New(Config{RepublishDelay: republishDelay, DataCentre: "a"})
 	read := func(r *Roster) {
 		s, at, _ := g.Read(context.Background())
 		r.applySnapshot(epoch, s, at)
@@ -267,7 +283,7 @@
 		s, at, _ := g.Read(context.Background())
 		r.applySnapshot(epoch, s, at)
 	}
-	own, other := New(Config{Host: "host-i-0", DataCentre: "a"}), New(Config{Host: "host-i-1", DataCentre: "a"})
+	own, other := New(Config{RepublishDelay: republishDelay, Host: "host-i-0", DataCentre: "a"}), New(Config{RepublishDelay: republishDelay, Host: "host-i-1", DataCentre: "a"})
 	read(own)
 	g.removeEntry("i-0")
 	read(other)
@@ -295,7 +311,7 @@
 		s, at, _ := g.Read(context.Background())
 		r.applySnapshot(now, s, at)
 	}
-	cut, other := New(Config{Host: "host-i-0", DataCentre: "a"}), New(Config{Host: "host-i-5", DataCentre: "a"})
+	cut, other := New(Config{RepublishDelay: republishDelay, Host: "host-i-0", DataCentre: "a"}), New(Config{RepublishDelay: republishDelay, Host: "host-i-5", DataCentre: "a"})
 	now := time.Now()
 	read(cut, now)
 	read(other, now)
@@ -330,14 +346,14 @@
 
 var errPartitioned = errors.New("the registry is unreachable")
 
-func (s *partitionedRegistry) Read(ctx context.Context) (prim.Published, uint64, error) {
+func (s *partitionedRegistry) Read(ctx context.Context) (prim.Published, prim.Revision, error) {
 	if s.partitioned.Load() {
 		return prim.Published{}, 0, errPartitioned
 	}
 	return s.fakeRegistry.Read(ctx)
 }
 
-func (s *partitionedRegistry) Changes(ctx context.Context, after uint64, d time.Duration) (prim.Published, uint64, error) {
+func (s *partitionedRegistry) Changes(ctx context.Context, after prim.Revision, d time.Duration) (prim.Published, prim.Revision, error) {
 	if s.partitioned.Load() {
 		return prim.Published{}, 0, errPartitioned
 	}
@@ -355,9 +371,9 @@
 			g.putEntry(fmt.Sprint("i-", i), false)
 		}
 		access := &partitionedRegistry{fakeRegistry: g}
-		cut, other := New(Config{Host: "host-i-0", DataCentre: "b"}), New(Config{Host: "host-i-5", DataCentre: "a"})
+		cut, other := New(Config{RepublishDelay: republishDelay, Host: "host-i-0", DataCentre: "b"}), New(Config{RepublishDelay: republishDelay, Host: "host-i-5", DataCentre: "a"})
 		ctx, cancel := context.WithCancel(t.Context())
-		ended := cut.Follow(ctx, access, republishDelay)
+		ended := cut.Follow(ctx, access)
 		// Two readers are heard all the time, so the node itself does not read.
 		exchangeFor := func(d time.Duration) {
 			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
