roster: only the routes that changed are sent to other nodes

Cause: each change of the configuration sent all routes to every node that doesn't read the registry. Nodes of earlier versions, and nodes too far behind, get all routes. Result: TestDiffGivesVersion and TestChangedRoutesAreSentAlone pass.

--- a/placement.go
+++ b/placement.go
@@ -31,6 +31,12 @@
 	Attempts int
 }
 
+// Equal reports whether two routes are equal.
+func (r *PathRoute) Equal(o *PathRoute) bool {
+	return r.Name == o.Name && r.Authority == o.Authority && r.Prefix == o.Prefix && slices.Equal(r.Targets, o.Targets) &&
+		r.Idempotent == o.Idempotent && r.Timeout == o.Timeout && r.Objective == o.Objective && r.Priority == o.Priority && r.Attempts == o.Attempts
+}
+
 // Target is a service and its weight among the targets of a route.
 type Target struct {
 	Service Service
--- /dev/null
+++ b/roster/diff_test.go
@@ -0,0 +1,98 @@
+package roster
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	prim "github.com/primrosethread/primrosethread"
+)
+
+// drawRouting draws a version with routes from few names, so that versions share routes.
+func drawRouting(t *rapid.T, version uint64) prim.Routing {
+	v := prim.Routing{Version: version, Revision: prim.Revision(version + 10)}
+	for i := range 10 {
+		if rapid.Bool().Draw(t, "listed") {
+			v.Routes = append(v.Routes, prim.PathRoute{
+				Name: fmt.Sprint(i), Authority: fmt.Sprint(i % 2), Prefix: fmt.Sprintf("/%d/", i), Attempts: rapid.IntRange(1, 2).Draw(t, "attempts"),
+				Targets: []prim.Target{{Service: "s", Weight: rapid.IntRange(1, 2).Draw(t, "weight")}},
+			})
+		}
+	}
+	if rapid.Bool().Draw(t, "service") {
+		v.Services = []prim.ServiceRule{{Name: "s"}}
+	}
+	return v
+}
+
+func sortedRoutes(v prim.Routing) []prim.PathRoute {
+	return slices.SortedFunc(slices.Values(v.Routes), func(a, b prim.PathRoute) int { return strings.Compare(a.Name, b.Name) })
+}
+
+// Guards against routes that are missing, left over or outdated after a difference was
+// applied.
+func TestDiffGivesVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		from, to := drawRouting(t, 1), drawRouting(t, 2)
+		got := diffRoutes(&from, &to).apply(&from)
+		is.Equal(got.Version, to.Version)
+		is.Equal(got.Revision, to.Revision)
+		is.Equal(sortedRoutes(got), sortedRoutes(to))
+		is.Equal(got.Services, to.Services)
+	})
+}
+
+// Guards against a state between nodes that grows with the number of routes instead of
+// with what changed, and against versions that are kept without bound.
+func TestChangedRoutesAreSentAlone(t *testing.T) {
+	is := is.New(t)
+	from, to := New(Config{DataCentre: "a"}), New(Config{DataCentre: "a"})
+	var routes []prim.PathRoute
+	publish := func(version uint64) {
+		routes = append(slices.Clone(routes), prim.PathRoute{Name: fmt.Sprint(version), Authority: "a", Prefix: fmt.Sprintf("/%d/", version)})
+		from.SetRouting(prim.Routing{Version: version, Routes: routes, Revision: prim.Revision(version)}, "test")
+	}
+	for version := uint64(1); version <= 100; version++ {
+		publish(version)
+	}
+	is.Equal(len(from.previousRoutings), maxPreviousVersions)
+	is.NoErr(to.Fetch(t.Context(), messages{to: from}, "host-1"))
+	for version := uint64(101); version < 150; version += maxPreviousVersions / 2 {
+		for v := version; v < version+maxPreviousVersions/2; v++ {
+			publish(v)
+		}
+		resp := from.changesSince(to.request())
+		is.True(resp.Routing == nil)
+		is.Equal(len(resp.RoutesDiff.Changed), maxPreviousVersions/2)
+		is.NoErr(to.Fetch(t.Context(), messages{to: from}, "host-1"))
+		is.Equal(to.Placement().Routing.Version, from.Placement().Routing.Version)
+		is.Equal(sortedRoutes(to.Placement().Routing), sortedRoutes(from.Placement().Routing))
+	}
+	// A node of an earlier version gets all routes.
+	req := to.request()
+	publish(200)
+	req.AppliesDiffs = false
+	is.Equal(len(from.changesSince(req).Routing.Routes), len(routes))
+	// A difference to another version than the node's own isn't applied.
+	resp := from.changesSince(to.request())
+	resp.RoutesDiff.Base--
+	before := to.Placement().Routing.Version
+	to.applyResponse(resp, "test")
+	is.Equal(to.Placement().Routing.Version, before)
+	is.True(to.IsBehind(from.Annotate(epoch, prim.LoadSample{})))
+}
+
+// Guards against previous versions of large configurations that fill the memory.
+func TestPreviousRoutesAreBounded(t *testing.T) {
+	is := is.New(t)
+	r := New(Config{DataCentre: "a"})
+	for version := uint64(1); version <= 10; version++ {
+		r.SetRouting(prim.Routing{Version: version, Routes: make([]prim.PathRoute, maxPreviousRoutes/3)}, "test")
+	}
+	is.Equal(len(r.previousRoutings), 3)
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -38,8 +38,10 @@
 	placement *prim.Placement
 	changed   chan struct{}
 	routing   prim.Routing
-	switches  map[prim.DataCentre]prim.DataCentreSwitch
-	servers   map[string]prim.ServerEntry // by id
+	// previousRoutings are versions before the current one, oldest first.
+	previousRoutings []prim.Routing
+	switches         map[prim.DataCentre]prim.DataCentreSwitch
+	servers          map[string]prim.ServerEntry // by id
 	// removals are the removals with a revision above removalsFrom, oldest first.
 	removals     []prim.Removal
 	removalsFrom prim.Revision
@@ -153,6 +155,7 @@
 		return false
 	}
 	r.log.Info("routes changed", "Version", v.Version, "Before", r.routing.Version, "Routes", len(v.Routes), "Revision", v.Revision, "Source", source)
+	r.keepRouting(r.routing)
 	r.routing, r.routingReceivedAt = v, time.Now()
 	return true
 }
--- a/roster/share.go
+++ b/roster/share.go
@@ -40,6 +40,8 @@
 	Digest         uint64 `cbor:"3,keyasint"` // of the sender's entries
 	// Inflates is set by senders that accept a deflated response.
 	Inflates bool `cbor:"4,keyasint,omitempty"`
+	// AppliesDiffs is set by senders that accept a difference instead of all routes.
+	AppliesDiffs bool `cbor:"6,keyasint,omitempty"`
 	// Era is one more than that of the sender's revision; 0 from nodes that don't know
 	// eras.
 	Era uint64 `cbor:"5,keyasint,omitempty"`
@@ -53,6 +55,7 @@
 	Complete     bool                    `cbor:"2,keyasint"`           // Servers lists all entries
 	EntriesEqual bool                    `cbor:"7,keyasint"`           // the requester has the same entries
 	Routing      *prim.Routing           `cbor:"3,keyasint"`           // nil if the requester has it
+	RoutesDiff   *routesDiff             `cbor:"9,keyasint,omitempty"` // instead of Routing
 	Switches     []prim.DataCentreSwitch `cbor:"4,keyasint"`
 	Servers      []prim.ServerEntry      `cbor:"5,keyasint"`
 	Removed      []prim.Removal          `cbor:"6,keyasint"`
@@ -84,7 +87,10 @@
 	if resp.Complete && known.Era() == r.revision.Era() && req.Digest == r.digest() {
 		resp.Complete, resp.EntriesEqual = false, true
 	}
-	if r.routing.Version > req.RoutingVersion {
+	if r.routing.Version > req.RoutingVersion && req.AppliesDiffs {
+		resp.RoutesDiff = r.routesSince(req.RoutingVersion)
+	}
+	if r.routing.Version > req.RoutingVersion && resp.RoutesDiff == nil {
 		routing := r.routing // the response is encoded without the lock
 		routing.Revision = numberOnly(routing.Revision)
 		resp.Routing = &routing
@@ -149,7 +155,10 @@
 func (r *Roster) request() stateRequest {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return stateRequest{r.revision.Number(), r.routing.Version, r.digest(), true, r.revision.Era() + 1}
+	return stateRequest{
+		Number: r.revision.Number(), Era: r.revision.Era() + 1, RoutingVersion: r.routing.Version, Digest: r.digest(),
+		Inflates: true, AppliesDiffs: true,
+	}
 }
 
 // digest returns a sum over the entries that depends neither on their order nor on
@@ -179,6 +188,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	revision := r.revisionOf(resp.Era, resp.Number)
+	if d := resp.RoutesDiff; d != nil && d.Base == r.routing.Version {
+		routing := d.apply(&r.routing)
+		resp.Routing = &routing
+	}
 	if resp.Routing != nil {
 		resp.Routing.Revision = r.revisionOf(resp.Era, uint64(resp.Routing.Revision))
 	}
