roster: a full read that arrives late doesn't replace newer state

Cause: a full read was applied as if nothing newer were known. If this node had fetched newer state from another node meanwhile, a server that was removed in between was listed again, a switch that had ended was set again, and the record of removals was cleared, so that nodes behind kept the server for ever. The same held for removals of a late watch after a state with equal entries. After a restore of the store all readers read at once while they fetch from each other, which makes this ordinary. Change: what is not newer than the last full state is skipped, and a late read neither lowers the revision from which removals are known nor drops newer ones.

--- a/roster/apply.go
+++ b/roster/apply.go
@@ -44,8 +44,9 @@
 	errEarlierEra = errors.New("the registry returned contents of an earlier era; the read will be retried")
 )
 
-// applySnapshot replaces the state with the full registry contents at a revision. It
-// returns errEarlierEra if the state is of a later era.
+// applySnapshot replaces the state with the full registry contents at a revision. What
+// this node has learned after that revision from other nodes is kept. It returns
+// errEarlierEra if the state is of a later era.
 func (r *Roster) applySnapshot(now time.Time, s prim.Published, revision prim.Revision) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -54,7 +55,7 @@
 	}
 	previous := r.enterEra(now, revision)
 	r.ownEntryDisputed, r.registryLost, r.reportedRemovals, r.failedFetches = false, false, nil, 0
-	r.merge(s, 0)
+	r.merge(s, r.removalsFrom)
 	listed := make(map[string]bool, len(s.Servers))
 	for _, e := range s.Servers {
 		listed[e.ID] = true
@@ -81,7 +82,8 @@
 	r.endUnlisted(s.Switches, revision, registrySource)
 	// This node never saw servers that were added and removed between two reads. Nodes
 	// that may have seen them are sent the full state.
-	r.removals, r.removalsFrom = nil, revision
+	r.removalsFrom = max(r.removalsFrom, revision)
+	r.removals = slices.DeleteFunc(r.removals, func(m prim.Removal) bool { return m.Revision <= r.removalsFrom })
 	if previous != nil {
 		r.keep(now, previous)
 	}
@@ -116,7 +118,7 @@
 	}
 	for _, m := range s.Removed {
 		old, known := r.servers[m.ID]
-		if !r.removeServer(m, registrySource) {
+		if m.Revision <= r.removalsFrom || !r.removeServer(m, registrySource) {
 			continue
 		}
 		changed, revision = true, max(revision, m.Revision)
@@ -144,8 +146,8 @@
 }
 
 // merge applies the routes, switches and entries that are newer than the current ones.
-// An unknown server whose entry is not newer than snapshotRevision was removed before
-// that revision.
+// The state is complete up to snapshotRevision: an unknown server that is not newer was
+// removed, and a switch that is not newer is known or ended.
 func (r *Roster) merge(s prim.Published, snapshotRevision prim.Revision) (changed bool, revision prim.Revision) {
 	note := func(isNew bool, rev prim.Revision) {
 		if isNew {
@@ -156,6 +158,9 @@
 		note(r.setRouting(*s.Routing, registrySource), s.Routing.Revision)
 	}
 	for _, c := range s.Switches {
+		if c.Revision <= snapshotRevision {
+			continue
+		}
 		note(r.setSwitch(c, registrySource), c.Revision)
 	}
 	for _, e := range s.Servers {
--- a/roster/era.go
+++ b/roster/era.go
@@ -49,7 +49,8 @@
 	}
 	r.servers = make(map[string]prim.ServerEntry)
 	r.switches = make(map[prim.DataCentre]prim.DataCentreSwitch)
-	r.removals, r.recentRemovals, r.reportedRemovals = nil, nil, nil
+	r.removals, r.removalsFrom = nil, 0
+	r.recentRemovals, r.reportedRemovals = nil, nil
 	r.retainUntil = time.Time{}
 	r.ownEntryDisputed = false
 	clear(r.retained)
--- a/roster/share_test.go
+++ b/roster/share_test.go
@@ -30,6 +30,7 @@
 		revisions := make([]prim.Revision, len(rosters)) // of the watches; 0 before a full read
 		var inFlight []func()                            // responses of other nodes not yet applied
 		watches := make([]func(), len(rosters))          // watch results not yet applied
+		reads := make([]func(), len(rosters))            // full reads not yet applied
 		backup := g.copyRegistry()
 		for i := range rosters {
 			rosters[i] = New(Config{RepublishDelay: republishDelay, DataCentre: "a"})
@@ -39,7 +40,7 @@
 			now = now.Add(time.Second)
 			i := rapid.IntRange(0, len(rosters)-1).Draw(t, "node")
 			r := rosters[i]
-			switch rapid.IntRange(0, 12).Draw(t, "what") {
+			switch rapid.IntRange(0, 14).Draw(t, "what") {
 			case 6:
 				o := rosters[rapid.IntRange(0, len(rosters)-1).Draw(t, "other")]
 				req := r.request()
@@ -60,6 +61,18 @@
 					inFlight[0]()
 					inFlight = inFlight[1:]
 				}
+			case 13:
+				s, seen, _ := g.Read(context.Background())
+				reads[i] = func() {
+					if r.applySnapshot(now, s, seen) == nil {
+						revisions[i], watches[i] = max(seen, r.revision), nil
+					}
+				}
+			case 14:
+				if reads[i] != nil {
+					reads[i]()
+					reads[i] = nil
+				}
 			case 10:
 				g.setSwitch("b", rapid.Bool().Draw(t, "out"))
 			case 11:
@@ -87,7 +100,7 @@
 				r.applyResponse(o.changesSince(req), "test")
 			}
 		}
-		for _, f := range slices.Concat(inFlight, watches) {
+		for _, f := range slices.Concat(inFlight, reads, watches) {
 			if f != nil {
 				f()
 			}
@@ -225,6 +238,41 @@
 	is.Equal(len(resp.Routing.Routes), 1000)
 }
 
+// Guards against a full read that arrives after newer state of another node, brings back
+// servers that were removed meanwhile, and hides their removal from others.
+func TestLateReadKeepsRemovals(t *testing.T) {
+	is := is.New(t)
+	g := newRegistry()
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		g.putEntry(id, false)
+	}
+	newRoster := func() *Roster { return New(Config{RepublishDelay: republishDelay, DataCentre: "a"}) }
+	r, ahead, behind, starting := newRoster(), newRoster(), newRoster(), newRoster()
+	read := func(r *Roster) {
+		s, at, _ := g.Read(t.Context())
+		is.NoErr(r.applySnapshot(epoch, s, at))
+	}
+	read(r)
+	read(ahead)
+	late, lateRevision, _ := g.Read(t.Context())
+	g.putEntry("i-2", true)
+	read(behind)
+	g.setSwitch("b", true)
+	g.removeEntry("i-1")
+	g.setSwitch("b", false)
+	for _, o := range []*Roster{r, starting} {
+		is.NoErr(ahead.applyChanges(epoch, g.changesSince(lateRevision), g.revision))
+		o.applyResponse(ahead.changesSince(o.request()), "test")
+		is.Equal(o.Revision(), g.revision)
+		is.NoErr(o.applySnapshot(epoch, late, lateRevision))
+		is.True(o.Placement().ServerByID("i-1") == nil)
+		is.True(o.Placement().ServerByID("i-2").Draining)
+	}
+	behind.applyResponse(r.changesSince(behind.request()), "test")
+	is.Equal(behind.Revision(), g.revision)
+	is.True(behind.Placement().ServerByID("i-1") == nil)
+}
+
 // Guards against nodes that start together and send each other all entries because
 // each has read at another revision.
 func TestEqualEntriesAreNotSent(t *testing.T) {
