roster: a node that stays behind what it hears reads the registry itself

Two kills minutes apart counted as in a row, and a fetch that brought nothing counted as a success. Change: a node that is behind the newest state it has heard of for more than 1 s reads the registry, at most every 5 s, however the fetches end. This replaces the count of failed fetches.

--- a/roster/apply.go
+++ b/roster/apply.go
@@ -54,7 +54,8 @@
 		return errEarlierEra
 	}
 	previous := r.enterEra(now, revision)
-	r.ownEntryDisputed, r.registryLost, r.reportedRemovals, r.failedFetches = false, false, nil, 0
+	r.ownEntryDisputed, r.registryLost, r.reportedRemovals = false, false, nil
+	r.behind = behindState{readAt: now}
 	r.merge(s, r.removalsFrom)
 	listed := make(map[string]bool, len(s.Servers))
 	for _, e := range s.Servers {
--- a/roster/follow.go
+++ b/roster/follow.go
@@ -306,12 +306,12 @@
 }
 
 // mustRead reports whether this node has to read the registry itself: another node
-// reported the entry of this host's server as removed, the other nodes have newer state
-// but can't send it, or the retention of missing entries has ended.
+// reported the entry of this host's server as removed, other nodes have newer state but
+// this one doesn't get it, or the retention of missing entries has ended.
 func (r *Roster) mustRead() bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return r.ownEntryDisputed || r.failedFetches >= maxFailedFetches || !r.retainUntil.IsZero() && time.Now().After(r.retainUntil)
+	return r.ownEntryDisputed || !r.reading && r.behind.isTooLong(time.Now()) || !r.retainUntil.IsZero() && time.Now().After(r.retainUntil)
 }
 
 // hasState reports whether any published state is known.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -48,13 +48,13 @@
 	// revision is that of the newest change; the state is complete up to it.
 	revision          prim.Revision
 	routingReceivedAt time.Time
-	confirmedAt       time.Time                   // when the state was last known to be current
-	retainUntil       time.Time                   // missing entries are retained until then
-	recentRemovals    []removedEntry              // within massRemovalWindow
-	reading           bool                        // this node follows the registry
-	ownEntryDisputed  bool                        // another node reported this host's server as removed
-	registryLost      bool                        // this node can't read the registry
-	failedFetches     int                         // in a row, since the last state applied
+	confirmedAt       time.Time      // when the state was last known to be current
+	retainUntil       time.Time      // missing entries are retained until then
+	recentRemovals    []removedEntry // within massRemovalWindow
+	reading           bool           // this node follows the registry
+	ownEntryDisputed  bool           // another node reported this host's server as removed
+	registryLost      bool           // this node can't read the registry
+	behind            behindState
 	reportedRemovals  []removedEntry              // by other nodes, within reportedRemovalWindow
 	retained          map[string]prim.ServerEntry // removed according to other nodes, kept here
 	peers             map[prim.HostName]peerState
@@ -128,6 +128,7 @@
 		return strings.Compare(a.ID, b.ID)
 	})
 	r.placement = prim.NewPlacement(r.routing, sortSwitches(r.effectiveSwitches()), servers)
+	r.behind.caughtUp(r.revision, r.routing.Version)
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
--- a/roster/share.go
+++ b/roster/share.go
@@ -112,24 +112,8 @@
 	return resp
 }
 
-// maxFailedFetches is the number of fetches that fail in a row before a node reads the
-// registry itself. A single one fails when the other node stops.
-const maxFailedFetches = 2
-
 // Fetch requests newer state from another node and applies it.
 func (r *Roster) Fetch(ctx context.Context, t prim.Transport, from prim.HostName) error {
-	err := r.fetch(ctx, t, from)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if err == nil {
-		r.failedFetches = 0
-	} else {
-		r.failedFetches++
-	}
-	return err
-}
-
-func (r *Roster) fetch(ctx context.Context, t prim.Transport, from prim.HostName) error {
 	body, err := encoding.Marshal(r.request())
 	if err != nil {
 		return err
@@ -271,7 +255,11 @@
 	if r.revisionOf(s.Era, s.Number) == r.revision && r.revision > 0 && s.Age > 0 {
 		r.confirmLocked(now.Add(-s.Age))
 	}
-	return r.isBehind(s)
+	if !r.isBehind(s) {
+		return false
+	}
+	r.behind.observe(now, r.revisionOf(s.Era, s.Number), s.Routes)
+	return true
 }
 
 // IsBehind reports whether the sender of a sample has newer state.
