roster: changes that a full state covers are skipped whatever their revision here

Cause: after a state with equal entries a node keeps its entries at their old revisions. A late read or watch with a change in between was then newer than the entry and replaced it, although the full state covers it: a server that had drained and come back drained again. Found by TestStatesConverge with full reads in flight (one in 344,000 cases). Change: what is not newer than the last full state is skipped.

--- a/roster/apply.go
+++ b/roster/apply.go
@@ -147,8 +147,8 @@
 }
 
 // merge applies the routes, switches and entries that are newer than the current ones.
-// The state is complete up to snapshotRevision: an unknown server that is not newer was
-// removed, and a switch that is not newer is known or ended.
+// The state is complete up to snapshotRevision, so what is not newer is known, although
+// perhaps at another revision, or gone.
 func (r *Roster) merge(s prim.Published, snapshotRevision prim.Revision) (changed bool, revision prim.Revision) {
 	note := func(isNew bool, rev prim.Revision) {
 		if isNew {
@@ -165,7 +165,7 @@
 		note(r.setSwitch(c, registrySource), c.Revision)
 	}
 	for _, e := range s.Servers {
-		if _, known := r.servers[e.ID]; !known && e.Revision <= snapshotRevision {
+		if e.Revision <= snapshotRevision {
 			continue
 		}
 		note(r.setServer(e, registrySource), e.Revision)
