roster: equal entries are those of the request

Cause: a node that has the same entries as another is told so instead of being sent them. If its entries changed between the request and the response, for example by the state of a third node, it took the changed ones for equal and kept a removed server for ever. Found by TestStatesConverge (one in 30,000 cases). Change: the response carries the digest that it refers to, and is ignored if the entries have changed. Nodes of earlier versions send none.

--- a/roster/share.go
+++ b/roster/share.go
@@ -50,12 +50,13 @@
 // stateResponse is the body of the answer to a stateRequest. Nodes of earlier versions
 // don't know eras, so all revisions in it are numbers in one era.
 type stateResponse struct {
-	Number       uint64                  `cbor:"1,keyasint"`           // of the sender's revision
-	Era          uint64                  `cbor:"8,keyasint,omitempty"` // as in stateRequest
-	Complete     bool                    `cbor:"2,keyasint"`           // Servers lists all entries
-	EntriesEqual bool                    `cbor:"7,keyasint"`           // the requester has the same entries
-	Routing      *prim.Routing           `cbor:"3,keyasint"`           // nil if the requester has it
-	RoutesDiff   *routesDiff             `cbor:"9,keyasint,omitempty"` // instead of Routing
+	Number       uint64                  `cbor:"1,keyasint"`            // of the sender's revision
+	Era          uint64                  `cbor:"8,keyasint,omitempty"`  // as in stateRequest
+	Complete     bool                    `cbor:"2,keyasint"`            // Servers lists all entries
+	EntriesEqual bool                    `cbor:"7,keyasint"`            // the requester has the same entries
+	Digest       *uint64                 `cbor:"10,keyasint,omitempty"` // that EntriesEqual refers to; nil from nodes of earlier versions
+	Routing      *prim.Routing           `cbor:"3,keyasint"`            // nil if the requester has it
+	RoutesDiff   *routesDiff             `cbor:"9,keyasint,omitempty"`  // instead of Routing
 	Switches     []prim.DataCentreSwitch `cbor:"4,keyasint"`
 	Servers      []prim.ServerEntry      `cbor:"5,keyasint"`
 	Removed      []prim.Removal          `cbor:"6,keyasint"`
@@ -85,7 +86,7 @@
 		resp.Switches[i].Revision = numberOnly(c.Revision)
 	}
 	if resp.Complete && known.Era() == r.revision.Era() && req.Digest == r.digest() {
-		resp.Complete, resp.EntriesEqual = false, true
+		resp.Complete, resp.EntriesEqual, resp.Digest = false, true, &req.Digest
 	}
 	if r.routing.Version > req.RoutingVersion && req.AppliesDiffs {
 		resp.RoutesDiff = r.routesSince(req.RoutingVersion)
@@ -180,7 +181,8 @@
 		resp.Routing.Revision = r.revisionOf(resp.Era, uint64(resp.Routing.Revision))
 	}
 	newRoutes := resp.Routing != nil && r.setRouting(*resp.Routing, source)
-	if revision <= r.revision || revision.Era() > r.revision.Era() && !resp.Complete {
+	outdated := resp.EntriesEqual && resp.Digest != nil && *resp.Digest != r.digest()
+	if revision <= r.revision || outdated || revision.Era() > r.revision.Era() && !resp.Complete {
 		if newRoutes {
 			r.rebuild(r.revision, source)
 		}
--- a/roster/share_test.go
+++ b/roster/share_test.go
@@ -273,6 +273,32 @@
 	is.True(behind.Placement().ServerByID("i-1") == nil)
 }
 
+// Guards against a server that a node keeps for ever, because a response says that its
+// entries are equal although they have changed since the request.
+func TestEqualEntriesOfRequest(t *testing.T) {
+	is := is.New(t)
+	g := newRegistry()
+	newRoster := func() *Roster {
+		r := New(Config{RepublishDelay: republishDelay, DataCentre: "a"})
+		s, at, _ := g.Read(t.Context())
+		is.NoErr(r.applySnapshot(epoch, s, at))
+		return r
+	}
+	r := newRoster()
+	g.putEntry("i-1", false)
+	between := newRoster()
+	g.removeEntry("i-1")
+	ahead := newRoster()
+	resp := ahead.changesSince(r.request())
+	is.True(resp.EntriesEqual)
+	r.applyResponse(between.changesSince(r.request()), "test")
+	is.True(r.Placement().ServerByID("i-1") != nil)
+	r.applyResponse(resp, "test")
+	r.applyResponse(ahead.changesSince(r.request()), "test")
+	is.Equal(r.Revision(), ahead.Revision())
+	is.True(r.Placement().ServerByID("i-1") == nil)
+}
+
 // Guards against nodes that start together and send each other all entries because
 // each has read at another revision.
 func TestEqualEntriesAreNotSent(t *testing.T) {
