roster: what is kept across a restore ends only when it is known to be outdated

A drain was forgotten if its server had restarted under the same ID, and any drain or removal if nobody wrote it again. A removal was forgotten at the second of two restores, and a new server was hidden like a removed one. A node cut off from the store dropped servers that it keeps otherwise. Change: the time counts from when the state is applied, and what was kept ends only after the state was confirmed to be current since. A drain of a known start, and an entry of a later start than the listed one, don't end. An entry of a later start than any known is used at once.

--- a/roster/apply.go
+++ b/roster/apply.go
@@ -86,7 +86,7 @@
 	r.removalsFrom = max(r.removalsFrom, revision)
 	r.removals = slices.DeleteFunc(r.removals, func(m prim.Removal) bool { return m.Revision <= r.removalsFrom })
 	if previous != nil {
-		r.keep(now, previous)
+		r.keep(previous)
 	}
 	r.rebuild(revision, registrySource)
 	return nil
--- a/roster/era.go
+++ b/roster/era.go
@@ -10,25 +10,36 @@
 // A registry that is restored from a copy begins a new era. Its contents are older than
 // what this node knows until operators and servers have written again what was lost. The
 // number of an item in the new era doesn't tell whether it comes from the copy: numbers
-// are given out again. So for a while this node keeps what it knows from the previous
-// era where the new contents lack or contradict it. A change of the new era that comes
-// after its first full state was written after the restore and replaces what was kept.
+// are given out again. So this node keeps what it knows from the previous era where the
+// new contents lack or contradict it. A change of the new era that comes after its first
+// full state was written after the restore and replaces what was kept.
+//
+// What nobody writes again ends: servers and switches that the new era lacks once live
+// servers and operators have had the time to write them, removals once the registry has
+// dropped the entries of silent servers. That an entry drains, or is of a later start of
+// its server, doesn't end: a start never stops draining.
 
 // overlay is what this node keeps from the previous era.
 type overlay struct {
-	until time.Time
-	// servers are entries that the new era lacks, or that it lists as not draining.
+	// servers are entries that the new era lacks, and entries that it lists in an
+	// outdated form.
 	servers map[string]prim.ServerEntry
 	// removed are IDs that the new era lists although they were removed before.
 	removed  map[string]bool
 	switches map[prim.DataCentre]prim.DataCentreSwitch
+	// until is when servers and switches that the new era lacks end, removedUntil when
+	// removals end. They end later if the state isn't confirmed to be current then.
+	until, removedUntil time.Time
 }
 
 // previousEra is the state of this node before it entered an era.
 type previousEra struct {
 	servers  map[string]prim.ServerEntry
 	switches map[prim.DataCentre]prim.DataCentreSwitch
-	revision prim.Revision
+	// highestNumber and newestStart bound the numbers and the starts of servers that this
+	// node has seen in any era.
+	highestNumber uint64
+	newestStart   time.Time
 }
 
 // enterEra clears the state if the revision of a full state is of a later era, and
@@ -40,7 +51,7 @@
 		return nil
 	}
 	r.log.Warn("registry was restored from a copy", "Revision", revision, "Before", r.revision)
-	previous := &previousEra{servers: r.effectiveServers(), switches: r.effectiveSwitches(), revision: r.revision}
+	previous := &previousEra{r.effectiveServers(), r.effectiveSwitches(), r.highestNumber, r.newestStart}
 	if now.Before(r.retainUntil) {
 		r.forgetRemovals(now)
 		for _, m := range r.recentRemovals {
@@ -60,21 +71,23 @@
 
 // keep sets the overlay after the first full state of an era has been applied. The
 // caller holds r.mu.
-func (r *Roster) keep(now time.Time, previous *previousEra) {
+func (r *Roster) keep(previous *previousEra) {
+	now := time.Now() // the state may have been read long ago, over a slow network
 	o := &overlay{
-		until:    now.Add(r.config.RepublishDelay),
-		servers:  make(map[string]prim.ServerEntry),
-		removed:  make(map[string]bool),
-		switches: make(map[prim.DataCentre]prim.DataCentreSwitch),
+		servers:      make(map[string]prim.ServerEntry),
+		removed:      make(map[string]bool),
+		switches:     make(map[prim.DataCentre]prim.DataCentreSwitch),
+		until:        now.Add(r.config.RepublishDelay),
+		removedUntil: now.Add(max(r.config.RepublishDelay, r.config.EntryTTL)),
 	}
 	for id, before := range previous.servers {
 		e, listed := r.servers[id]
-		if !listed && !before.Draining || listed && before.Draining && !e.Draining && e.Born.Equal(before.Born) {
+		if !listed && !before.Draining || listed && isOutdated(&e, &before) {
 			o.servers[id] = before
 		}
 	}
 	for id, e := range r.servers {
-		if _, known := previous.servers[id]; !known && previous.mayKnow(e.Revision) {
+		if _, known := previous.servers[id]; !known && previous.mayKnow(e.Revision) && !e.Born.After(previous.newestStart) {
 			o.removed[id] = true
 		}
 	}
@@ -87,9 +100,15 @@
 	r.overlay = o
 }
 
+// isOutdated reports whether an entry is of an earlier start of its server than the one
+// known before, or of the same start before it drained.
+func isOutdated(e, before *prim.ServerEntry) bool {
+	return e.Born.Before(before.Born) || e.Born.Equal(before.Born) && before.Draining && !e.Draining
+}
+
 // mayKnow reports whether an item of the new era may be one that this node knew, or
 // knew the removal of. It isn't if its number is above all that this node knew.
-func (p *previousEra) mayKnow(rev prim.Revision) bool { return rev.Number() <= p.revision.Number() }
+func (p *previousEra) mayKnow(rev prim.Revision) bool { return rev.Number() <= p.highestNumber }
 
 // dropKept drops what is kept of a server that was written or removed in this era. It
 // reports whether anything was kept. The caller holds r.mu.
@@ -108,22 +127,43 @@
 // one. The caller holds r.mu.
 func (r *Roster) removedBefore(id string) bool { return r.overlay != nil && r.overlay.removed[id] }
 
-// endOverlay drops what was kept once operators and servers have had the time to write
-// it again. The removal of this host's own server has to be read from the registry.
+// endOverlay drops what was kept once its time is over and the state was confirmed to be
+// current after that. As with other removals, that of this host's own server has to be
+// read from the registry, and a node that can't read it keeps servers.
 func (r *Roster) endOverlay(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.overlay == nil || now.Before(r.overlay.until) {
+	o := r.overlay
+	if o == nil {
 		return
 	}
-	o := r.overlay
-	r.overlay = nil
-	for id, e := range o.servers {
-		if _, listed := r.servers[id]; !listed && e.Host == r.config.Host {
-			r.retain(e, now)
+	hasEnded := func(t time.Time) bool { return !now.Before(t) && !r.confirmedAt.Before(t) }
+	ended := 0
+	if hasEnded(o.until) {
+		for id, e := range o.servers {
+			listed, ok := r.servers[id]
+			if ok && !e.Born.IsZero() && isOutdated(&listed, &e) {
+				continue
+			}
+			delete(o.servers, id)
+			ended++
+			if !ok && (e.Host == r.config.Host || r.registryLost) {
+				r.retain(e, now)
+			}
 		}
+		ended += len(o.switches)
+		clear(o.switches)
+	}
+	if hasEnded(o.removedUntil) {
+		ended += len(o.removed)
+		clear(o.removed)
+	}
+	if len(o.servers)+len(o.switches)+len(o.removed) == 0 {
+		r.overlay = nil
+	}
+	if ended > 0 {
+		r.rebuild(r.revision, "end of restore")
 	}
-	r.rebuild(r.revision, "end of restore")
 }
 
 // effectiveServers returns the entries in use. The caller holds r.mu.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -24,7 +24,9 @@
 	// RepublishDelay is the time after an outage or a restore of the registry within
 	// which live servers and operators have published their entries again.
 	RepublishDelay time.Duration
-	Logger         *slog.Logger
+	// EntryTTL is the time after which the registry drops the entry of a silent server.
+	EntryTTL time.Duration
+	Logger   *slog.Logger
 	// Guard contains panics of the reader; nil uses a new one.
 	Guard *guard.Guard
 }
@@ -60,6 +62,8 @@
 	peers             map[prim.HostName]peerState
 	selection         readerSelection
 	overlay           *overlay        // kept from the previous era; nil if nothing is
+	highestNumber     uint64          // of the revisions of all eras
+	newestStart       time.Time       // of the servers of all eras
 	digestPlacement   *prim.Placement // the placement that digestValue belongs to
 	digestValue       uint64
 }
@@ -124,6 +128,7 @@
 	r.log.Info("published state changed", "Revision", revision, "Before", r.revision, "Routes", r.routing.Version,
 		"Servers", len(r.servers), "ServersBefore", len(r.placement.Servers), "Source", source)
 	r.revision = max(r.revision, revision)
+	r.highestNumber = max(r.highestNumber, revision.Number())
 	servers := slices.SortedFunc(maps.Values(r.effectiveServers()), func(a, b prim.ServerEntry) int {
 		return strings.Compare(a.ID, b.ID)
 	})
@@ -196,6 +201,9 @@
 		return false
 	}
 	r.servers[e.ID] = e
+	if e.Born.After(r.newestStart) {
+		r.newestStart = e.Born
+	}
 	delete(r.retained, e.ID)
 	if !r.dropKept(e.ID) && known && old.EqualIgnoringRevision(&e) {
 		return false
--- a/roster/share.go
+++ b/roster/share.go
@@ -188,8 +188,7 @@
 		}
 		return
 	}
-	now := time.Now()
-	previous := r.enterEra(now, revision)
+	previous := r.enterEra(time.Now(), revision)
 	for _, c := range resp.Switches {
 		c.Revision = r.revisionOf(revision.Era()+1, uint64(c.Revision))
 		r.setSwitch(c, source)
@@ -214,7 +213,7 @@
 		r.removals, r.removalsFrom = nil, revision
 	}
 	if previous != nil {
-		r.keep(now, previous)
+		r.keep(previous)
 	}
 	r.rebuild(revision, source)
 }
--- a/roster/share_test.go
+++ b/roster/share_test.go
@@ -116,6 +116,7 @@
 				req := r.request()
 				r.applyResponse(rosters[0].changesSince(req), "test")
 			}
+			r.confirm(time.Now().Add(time.Hour))
 			r.endOverlay(time.Now().Add(time.Hour))
 		}
 		for i, r := range rosters {
