roster: nodes that don't know eras aren't compared by number after a restore

Cause: a message without an era counted as one of the receiver's era. Change: once the registry was restored since the node started, it takes only routes from such nodes, which have versions of their own. Result: TestNodeWithoutErasAfterRestore failed before and passes. A node that starts after the restore of a fleet in the middle of an update still compares by number.

--- a/roster/era.go
+++ b/roster/era.go
@@ -66,6 +66,7 @@
 	r.ownEntryDisputed = false
 	clear(r.retained)
 	r.overlay = nil
+	r.restored = true
 	return previous
 }
 
--- a/roster/era_test.go
+++ b/roster/era_test.go
@@ -301,6 +301,33 @@
 	is.Equal(older.Placement().Servers, newer.Placement().Servers)
 }
 
+// Guards against a node of an earlier version that hasn't noticed a restore, and whose
+// higher numbers a node of this version takes for newer ones.
+func TestNodeWithoutErasAfterRestore(t *testing.T) {
+	is := is.New(t)
+	g := newRegistry()
+	g.putEntry("i-1", false)
+	old := g.copyRegistry()
+	for range 10 {
+		g.update(func() {})
+	}
+	older, r := New(Config{RepublishDelay: republishDelay, DataCentre: "a"}), New(Config{RepublishDelay: republishDelay, DataCentre: "a"})
+	g.publishRoutes(2)
+	readAt(t, older, g)
+	readAt(t, r, g)
+	g.restore(old)
+	readAt(t, r, g)
+	sample := older.Annotate(epoch, prim.LoadSample{})
+	sample.Era = 0
+	is.True(!r.IsBehind(sample))
+	older.SetRouting(prim.Routing{Version: 3}, "test")
+	resp := older.changesSince(r.request())
+	resp.Era = 0
+	r.applyResponse(resp, "test")
+	is.Equal(r.Revision(), g.revision)
+	is.Equal(r.Placement().Routing.Version, uint64(3)) // versions order routes
+}
+
 // Guards against contents from before a restore that arrive late and replace newer ones.
 func TestEarlierEraIsRefused(t *testing.T) {
 	is := is.New(t)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -62,6 +62,7 @@
 	peers             map[prim.HostName]peerState
 	selection         readerSelection
 	overlay           *overlay        // kept from the previous era; nil if nothing is
+	restored          bool            // the registry was restored since this node started
 	highestNumber     uint64          // of the revisions of all eras
 	newestStart       time.Time       // of the servers of all eras
 	digestPlacement   *prim.Placement // the placement that digestValue belongs to
--- a/roster/share.go
+++ b/roster/share.go
@@ -219,15 +219,19 @@
 }
 
 // revisionOf returns a revision that another node sent as a number and one more than
-// its era. If era is 0, it is this node's era. The revision is 0, below all others, if it
-// is out of range. The caller holds r.mu.
+// its era. A node that doesn't know eras, and sends 0, is in this node's era unless the
+// registry was restored since this node started. The revision is 0, below all others, if
+// the era is unknown or out of range. The caller holds r.mu.
 func (r *Roster) revisionOf(era, number uint64) prim.Revision {
+	if era == 0 && r.restored {
+		return 0
+	}
 	if era == 0 {
 		era = r.revision.Era() + 1
 	}
 	revision, err := prim.NewRevision(era-1, number)
 	if err != nil {
-		r.log.Warn("another node sent an invalid revision", "Error", err)
+		r.log.Debug("another node sent an invalid revision", "Error", err)
 		return 0
 	}
 	return revision
