peers: further pieces of a long frame may stall for 1 s

Seen: at 60 ms per 16 KiB a link was closed during an answer of 1.06 MiB although its bytes flowed; the new case of TestLongMessageOnSlowNetwork failed 3 of 3 times with -race on two cores beside a busy loop, the case at 30 ms passed 3 of 3.

Cause: progress is measured at the local socket buffer. The window of a slow network opens in large steps, so that one piece can wait longer than 250 ms.

Change: the first piece keeps the bound of 250 ms, since a frozen peer must not delay calls that could go to another host. Each further piece is bounded by stallTimeout, 1 s. The test runs at 30 and 60 ms per 16 KiB; CheckLinks closes after three quarters of the least duration of the message, which leaves more time between signs of life under load.

--- a/peers/link.go
+++ b/peers/link.go
@@ -61,8 +61,9 @@
 const maxPooledBytes = 256 << 10
 
 // writeFrame sends one frame. The context bounds only the wait for writeSem; a write
-// that has started ends when it makes no progress for writeTimeout, and if it fails the
-// link is closed. If sent is false, nothing of the frame was written.
+// that has started ends when a piece of the frame takes longer than writeTimeout or
+// stallTimeout, and if it fails the link is closed. If sent is false, nothing of the
+// frame was written.
 func (l *link) writeFrame(ctx context.Context, h *wire.Header, body []byte) (sent bool, err error) {
 	buf := frameBuffers.Get().(*[]byte)
 	defer func() {
@@ -107,7 +108,7 @@
 		if _, err := w.Write(piece); err != nil {
 			return err
 		}
-		stalled.Reset(writeTimeout)
+		stalled.Reset(stallTimeout)
 	}
 	return w.Close()
 }
--- a/peers/liveness_test.go
+++ b/peers/liveness_test.go
@@ -91,30 +91,37 @@
 // Guards against links that are closed, with all calls on them, because a long message
 // takes longer than a timeout on a slow network although its bytes arrive.
 func TestLongMessageOnSlowNetwork(t *testing.T) {
-	is := is.New(t)
-	p := newPair(t)
-	body := bytes.Repeat([]byte("x"), wire.MaxBodyBytes)
-	p.b.Handle("Test", func(context.Context, prim.HostName, prim.Message) (prim.Message, error) {
-		return prim.Message{Kind: "Test", Body: body}, nil
-	})
-	_, err := p.a.Ask(t.Context(), "b", prim.Message{Kind: peers.KindPing})
-	is.NoErr(err)
-	p.proxy.SetDelay(30 * time.Millisecond) // for each 16 KiB
-	ctx, stop := context.WithCancel(t.Context())
-	checked := make(chan error, 1)
-	go func() {
-		for ctx.Err() == nil {
-			p.a.CheckLinks(400*time.Millisecond, 1200*time.Millisecond)
-			waits.Sleep(ctx, 100*time.Millisecond)
-		}
-		checked <- ctx.Err()
-	}()
-	reply, err := p.a.Ask(t.Context(), "b", prim.Message{Kind: "Test"})
-	is.NoErr(err)
-	is.Equal(len(reply.Body), len(body))
-	stop()
-	<-checked
-	is.Equal(len(p.ended), 0)
+	for _, delay := range []time.Duration{30 * time.Millisecond, 60 * time.Millisecond} { // for each 16 KiB
+		t.Run(delay.String(), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			p := newPair(t)
+			body := bytes.Repeat([]byte("x"), wire.MaxBodyBytes)
+			p.b.Handle("Test", func(context.Context, prim.HostName, prim.Message) (prim.Message, error) {
+				return prim.Message{Kind: "Test", Body: body}, nil
+			})
+			_, err := p.a.Ask(t.Context(), "b", prim.Message{Kind: peers.KindPing})
+			is.NoErr(err)
+			p.proxy.SetDelay(delay)
+			// Three quarters of the least time that the message takes.
+			closeAfter := delay * wire.MaxBodyBytes / (16 << 10) * 3 / 4
+			ctx, stop := context.WithCancel(t.Context())
+			checked := make(chan error, 1)
+			go func() {
+				for ctx.Err() == nil {
+					p.a.CheckLinks(closeAfter/2, closeAfter)
+					waits.Sleep(ctx, 100*time.Millisecond)
+				}
+				checked <- ctx.Err()
+			}()
+			reply, err := p.a.Ask(t.Context(), "b", prim.Message{Kind: "Test"})
+			stop()
+			<-checked
+			is.NoErr(err)
+			is.Equal(len(reply.Body), len(body))
+			is.Equal(len(p.ended), 0)
+		})
+	}
 }
 
 // Guards against pushed load samples that do not reach the nodes that have
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -28,11 +28,13 @@
 	DefaultMaxCalls     = 4096
 	DefaultMaxLinks     = 4096
 	DefaultDialTimeout  = time.Second
-	// writeTimeout bounds the write of one piece of a frame. A link whose peer does
-	// not read is closed after it, because a frozen peer must not delay calls that
-	// could go to another host. A longer frame takes as long as its bytes make
-	// progress.
-	writeTimeout  = 250 * time.Millisecond
+	// writeTimeout bounds the write of the first piece of a frame. A link whose peer
+	// does not read is closed after it, because a frozen peer must not delay calls
+	// that could go to another host.
+	writeTimeout = 250 * time.Millisecond
+	// stallTimeout bounds the write of each further piece. It is longer, because the
+	// peer has just read and the windows of a slow network open in large steps.
+	stallTimeout  = time.Second
 	maxPieceBytes = 16 << 10
 	minBackoff    = 50 * time.Millisecond
 	maxBackoff    = 2 * time.Second
