peers: a call ends with its context while its long frame is written

Seen: a Dispatch with a body of 1 MiB and a deadline of 100 ms returned after 3.5 s at 60 ms per 16 KiB with small socket buffers. Short calls to the same host stayed on the one link and queued behind the frame: no second link was dialled before it had arrived.

Cause: the context bounded only the wait for writeSem, not the write. A link was chosen by the number of its unanswered calls, whatever was being written to it.

Change: a frame longer than one piece is written by a goroutine that owns the buffer and writeSem; shutDown waits for its end. The caller returns at the end of its context with sent = true, so that Dispatch returns LostAnswerError, and the call is cancelled. Extra dials now respect the backoff, because a waiting call would otherwise redial without a pause. LimitWriteBuffer in export_test.go makes loopback connections block as slow networks do; without it the system buffers 1 MiB.

--- /dev/null
+++ b/peers/export_test.go
@@ -0,0 +1,21 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"net/http"
+)
+
+// LimitWriteBuffer makes the links that p dials buffer few of the bytes that their peer
+// hasn't read. It must be called before the first dial.
+func (p *Peers) LimitWriteBuffer() {
+	t := p.dialClient.Transport.(*http.Transport)
+	dial := t.DialContext
+	t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err == nil {
+			err = c.(*net.TCPConn).SetWriteBuffer(8 << 10)
+		}
+		return c, err
+	}
+}
--- a/peers/group.go
+++ b/peers/group.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -36,19 +37,24 @@
 
 // acquireLink returns the open link with the fewest unanswered calls and dials one if
 // there is none. If every link has extraLinkThreshold unanswered calls, it dials
-// another link in the background.
+// another link in the background. If every link is writing a long frame, it waits for
+// another link or for the end of the frame, whichever comes first.
 func (g *linkGroup) acquireLink(ctx context.Context) (*link, error) {
 	for {
 		g.mu.Lock()
 		l := g.leastLoaded()
+		var linkFree chan struct{}
 		if l != nil {
-			if l.unanswered.Load() >= extraLinkThreshold && len(g.links) < g.peers.config.LinksPerHost && g.dialDone == nil {
+			long := l.writingLong.Load()
+			if (long || l.unanswered.Load() >= extraLinkThreshold) && g.mayDialExtra() {
 				g.startDial()
 			}
-			g.mu.Unlock()
-			return l, nil
-		}
-		if g.dialDone == nil {
+			if !long || g.dialDone == nil {
+				g.mu.Unlock()
+				return l, nil
+			}
+			linkFree = l.writeSem
+		} else if g.dialDone == nil {
 			if wait := time.Until(g.retryAt); wait > 0 {
 				err := g.dialErr
 				g.mu.Unlock()
@@ -65,6 +71,8 @@
 		g.mu.Unlock()
 		select {
 		case <-dialDone:
+		case linkFree <- struct{}{}:
+			<-linkFree
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		case <-g.peers.ctx.Done():
@@ -80,13 +88,24 @@
 	}
 }
 
+// mayDialExtra reports whether a link may be dialled besides the open ones. The caller
+// holds g.mu.
+func (g *linkGroup) mayDialExtra() bool {
+	return g.dialDone == nil && len(g.links) < g.peers.config.LinksPerHost && time.Now().After(g.retryAt)
+}
+
 // leastLoaded returns the link with the fewest unanswered calls, or nil if there
-// are no links. The caller holds g.mu.
+// are no links. Links that are writing a long frame come last. The caller holds g.mu.
 func (g *linkGroup) leastLoaded() *link {
 	var least *link
+	var leastCalls int64
 	for _, l := range g.links {
-		if least == nil || l.unanswered.Load() < least.unanswered.Load() {
-			least = l
+		calls := l.unanswered.Load()
+		if l.writingLong.Load() {
+			calls += math.MaxInt32
+		}
+		if least == nil || calls < leastCalls {
+			least, leastCalls = l, calls
 		}
 	}
 	return least
--- a/peers/link.go
+++ b/peers/link.go
@@ -18,7 +18,7 @@
 // errLinkClosed is the cause of calls that fail because their link was closed.
 var errLinkClosed = errors.New("link closed")
 
-// link is one WebSocket connection. Each goroutine writes its frames itself,
+// link is one WebSocket connection. Each goroutine writes its short frames itself,
 // because a separate writer goroutine would add a hand-off between goroutines to
 // every hop.
 type link struct {
@@ -28,6 +28,8 @@
 	instance prim.Instance // of the other side; only set on dialled links
 	writeSem chan struct{} // serialises writes; unlike a mutex, waiting for it can be cancelled
 	done     chan struct{} // closed when the reader has ended
+	// writingLong is set while a frame longer than one piece is written.
+	writingLong atomic.Bool
 
 	unanswered atomic.Int64 // number of unanswered calls; only used on dialled links
 	// lastReceived is when a part of a frame was last received, in nanoseconds since epoch.
@@ -60,35 +62,62 @@
 // maxPooledBytes is the capacity of the largest buffer that is kept for reuse.
 const maxPooledBytes = 256 << 10
 
-// writeFrame sends one frame. The context bounds only the wait for writeSem; a write
-// that has started ends when a piece of the frame takes longer than writeTimeout or
-// stallTimeout, and if it fails the link is closed. If sent is false, nothing of the
-// frame was written.
+// writeFrame sends one frame. The context bounds the wait for writeSem and, for a frame
+// longer than one piece, the wait for the end of the write. A write that has started ends
+// by itself when a piece of the frame takes longer than writeTimeout or stallTimeout, and
+// if it fails the link is closed. If sent is false, nothing of the frame was written; if
+// it is true, the frame may still arrive whatever err is.
 func (l *link) writeFrame(ctx context.Context, h *wire.Header, body []byte) (sent bool, err error) {
 	buf := frameBuffers.Get().(*[]byte)
-	defer func() {
-		if cap(*buf) <= maxPooledBytes {
-			frameBuffers.Put(buf)
-		}
-	}()
 	*buf, err = wire.Append((*buf)[:0], h, body)
 	if err != nil {
+		releaseBuffer(buf)
 		return false, err
 	}
 	select {
 	case l.writeSem <- struct{}{}:
 	case <-ctx.Done():
-		return false, ctx.Err()
+		err = ctx.Err()
 	case <-l.done:
-		return false, errLinkClosed
+		err = errLinkClosed
+	}
+	if err != nil {
+		releaseBuffer(buf)
+		return false, err
 	}
-	defer func() { <-l.writeSem }()
+	if len(*buf) <= maxPieceBytes {
+		return true, l.writeBuffer(buf)
+	}
+	l.writingLong.Store(true)
+	written := make(chan error, 1)
+	go func() { written <- l.writeBuffer(buf) }() // shutDown waits for its end
+	select {
+	case err := <-written:
+		return true, err
+	case <-ctx.Done():
+		return true, ctx.Err()
+	}
+}
+
+// writeBuffer writes the frame in buf, then releases buf and the caller's writeSem.
+func (l *link) writeBuffer(buf *[]byte) error {
+	defer func() {
+		releaseBuffer(buf)
+		l.writingLong.Store(false)
+		<-l.writeSem
+	}()
 	if err := l.writeMessage(*buf); err != nil {
 		l.conn.CloseNow()
-		return true, err
+		return err
 	}
 	l.peers.bytesOut.Add(int64(len(*buf)))
-	return true, nil
+	return nil
+}
+
+func releaseBuffer(buf *[]byte) {
+	if cap(*buf) <= maxPooledBytes {
+		frameBuffers.Put(buf)
+	}
 }
 
 // writeMessage writes a WebSocket message in pieces. The caller holds writeSem.
@@ -198,6 +227,12 @@
 	return c, nil
 }
 
+// cancelCall unregisters a call and cancels it at the other side.
+func (l *link) cancelCall(c *call) {
+	l.dropCall(c)
+	l.sendBestEffort(wire.Header{Type: wire.Cancel, ID: c.id})
+}
+
 // dropCall unregisters a call. A response that arrives later is dropped.
 func (l *link) dropCall(c *call) {
 	l.mu.Lock()
@@ -209,7 +244,7 @@
 }
 
 // shutDown closes the link and ends all calls by closing their channels without a
-// reply. The reader calls it once, when it has ended.
+// reply. It waits for the write in progress. The reader calls it once, when it has ended.
 func (l *link) shutDown() {
 	l.mu.Lock()
 	pending := l.pending
@@ -224,6 +259,7 @@
 	}
 	close(l.done)
 	l.conn.CloseNow()
+	l.writeSem <- struct{}{}
 }
 
 // deliverFrame passes a frame from the accepting side to the call that it answers. A
--- a/peers/liveness_test.go
+++ b/peers/liveness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"net/http/httptest"
 	"net/netip"
@@ -67,6 +68,7 @@
 		OnUnlinked: func(h prim.HostName) { p.ended <- h },
 	})
 	is.NoErr(err)
+	p.a.LimitWriteBuffer()
 	t.Cleanup(func() {
 		p.proxy.Close()
 		p.a.Close()
@@ -124,6 +126,56 @@
 	}
 }
 
+// Guards against a call that outlives its context because its long request is being
+// written to a slow network, and against one that is reported as NotRun although the
+// request may still arrive.
+func TestLongRequestEndsWithContext(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	_, err := p.a.Ask(t.Context(), "b", prim.Message{Kind: peers.KindPing})
+	is.NoErr(err)
+	p.proxy.SetDelay(60 * time.Millisecond) // for each 16 KiB
+	ctx, stop := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer stop()
+	body := make([]byte, 1<<20)
+	_, err = p.a.Owner("b").Dispatch(ctx, &prim.Request{Deadline: time.Now().Add(time.Minute), Body: body})
+	is.Equal(prim.OutcomeOf(err), prim.Unknown)
+	is.True(errors.Is(err, context.DeadlineExceeded))
+	is.True(p.a.Status().BytesOut < int64(len(body))) // the frame is still being written
+	p.proxy.SetDelay(0)
+	for p.a.Status().BytesOut < int64(len(body)) {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(len(p.ended), 0)
+}
+
+// Guards against short calls that wait behind a long request although another link to
+// the host may be dialled.
+func TestShortCallAvoidsBusyLink(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	p.b.Handle("Test", func(context.Context, prim.HostName, prim.Message) (prim.Message, error) {
+		return prim.Message{Kind: "Test"}, nil
+	})
+	ping := func() {
+		_, err := p.a.Ask(t.Context(), "b", prim.Message{Kind: peers.KindPing})
+		is.NoErr(err)
+	}
+	ping()
+	p.proxy.SetDelay(60 * time.Millisecond) // for each 16 KiB
+	long := make(chan error, 1)
+	go func() {
+		_, err := p.a.Ask(t.Context(), "b", prim.Message{Kind: "Test", Body: make([]byte, wire.MaxBodyBytes)})
+		long <- err
+	}()
+	for p.a.Status().Dialled < 2 && len(long) == 0 {
+		ping()
+	}
+	ping()
+	is.Equal(len(long), 0)
+	is.NoErr(<-long)
+}
+
 // Guards against pushed load samples that do not reach the nodes that have
 // dialled, and against samples sent to hosts that the filter excludes.
 func TestPublish(t *testing.T) {
--- a/peers/remote.go
+++ b/peers/remote.go
@@ -32,8 +32,7 @@
 	h.ID = c.id
 	h.Instance = l.instance
 	if sent, err := l.writeFrame(ctx, &h, r.Body); err != nil {
-		l.dropCall(c)
-		return nil, o.writeError(sent, err)
+		return nil, o.failCall(l, c, sent, err)
 	}
 	return o.awaitAnswer(ctx, l, c)
 }
@@ -48,9 +47,13 @@
 	h := wire.RequestHeader(wire.Reserve, r, time.Now())
 	h.ID = c.id
 	h.Instance = l.instance
-	if _, err := l.writeFrame(ctx, &h, r.Body); err != nil {
-		l.dropCall(c)
-		return nil, &prim.RefusalError{Reason: prim.ReasonUnreachable, Host: o.host}
+	if sent, err := l.writeFrame(ctx, &h, r.Body); err != nil {
+		o.failCall(l, c, sent, err)
+		refusal := &prim.RefusalError{Reason: prim.ReasonUnreachable, Host: o.host}
+		if sent && ctx.Err() != nil {
+			refusal.Reason = prim.ReasonExpired
+		}
+		return nil, refusal
 	}
 	select {
 	case reply, ok := <-c.reply:
@@ -67,8 +70,7 @@
 		}
 		return nil, err
 	case <-ctx.Done():
-		l.dropCall(c)
-		l.sendBestEffort(wire.Header{Type: wire.Cancel, ID: c.id})
+		l.cancelCall(c)
 		return nil, &prim.RefusalError{Reason: prim.ReasonExpired, Host: o.host}
 	}
 }
@@ -93,12 +95,15 @@
 	return nil, nil, &prim.RefusalError{Reason: reason, Host: o.host}
 }
 
-// writeError maps the error of a failed write. If nothing of the frame was
-// written, the request cannot run and the result is *prim.RefusalError.
-func (o *remoteOwner) writeError(sent bool, err error) error {
+// failCall ends a call whose write failed and maps the error. If nothing of the frame
+// was written, the request cannot run and the result is *prim.RefusalError. Otherwise
+// the call is cancelled, because a long frame may still arrive.
+func (o *remoteOwner) failCall(l *link, c *call, sent bool, err error) error {
 	if !sent {
+		l.dropCall(c)
 		return &prim.RefusalError{Reason: prim.ReasonUnreachable, Host: o.host}
 	}
+	l.cancelCall(c)
 	return &prim.LostAnswerError{Host: o.host, Cause: err}
 }
 
@@ -118,11 +123,10 @@
 		}
 		return answer, err
 	case <-ctx.Done():
-		l.dropCall(c)
+		l.cancelCall(c)
 		if reply, ok := <-receivedReply(c); ok && reply.stream != nil {
 			reply.stream.Close()
 		}
-		l.sendBestEffort(wire.Header{Type: wire.Cancel, ID: c.id})
 		return nil, &prim.LostAnswerError{Host: o.host, Cause: ctx.Err()}
 	}
 }
@@ -177,8 +181,7 @@
 		h.Remaining = time.Until(deadline)
 	}
 	if sent, err := r.link.writeFrame(ctx, &h, nil); err != nil {
-		r.link.dropCall(c)
-		return nil, r.owner.writeError(sent, err)
+		return nil, r.owner.failCall(r.link, c, sent, err)
 	}
 	return r.owner.awaitAnswer(ctx, r.link, c)
 }
--- a/peers/stream.go
+++ b/peers/stream.go
@@ -109,8 +109,7 @@
 	r.changed.Broadcast()
 	r.mu.Unlock()
 	if unfinished {
-		r.link.dropCall(r.call)
-		r.link.sendBestEffort(wire.Header{Type: wire.Cancel, ID: r.call.id})
+		r.link.cancelCall(r.call)
 	}
 	return nil
 }
