peers: credits and cancels are not lost while the link is busy

Seen: while a frame of 1.06 MiB was written to a link, credits and cancels on it were lost. A streamed answer of 2 MiB stopped after the window of 512 KiB and was cut at the deadline of its request, one minute later; a request whose client had gone ran until its deadline.

Cause: both were sent best effort, that is dropped if the link is busy for 5 ms.

Change: sendSurely queues them per link; one job of the worker pool sends all that is owed in one turn of writeSem, as soon as the link is free, and ends with the link. Each unanswered call owes at most one window of credits and two cancels. Pings, load samples and releases of reservations stay best effort; an owner expires reservations itself.

Result: TestBusyLinkKeepsCreditsAndCancels failed at the cancel before the change, and failed at the credits (unexpected EOF) with only credits sent best effort. TestLongRequestEndsWithContext now also awaits the cancel of its request and failed so before.

--- a/peers/export_test.go
+++ b/peers/export_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+
+	prim "github.com/primrosethread/primrosethread"
 )
 
 // LimitWriteBuffer makes the links that p dials buffer few of the bytes that their peer
@@ -19,3 +21,16 @@
 		return c, err
 	}
 }
+
+// WritingLong reports whether a link to host h is writing a long frame.
+func (p *Peers) WritingLong(h prim.HostName) bool {
+	g := p.group(h)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, l := range g.links {
+		if l.writingLong.Load() {
+			return true
+		}
+	}
+	return false
+}
--- a/peers/link.go
+++ b/peers/link.go
@@ -38,6 +38,12 @@
 	// pending holds the unanswered calls by id; nil once the link is closed.
 	pending map[uint64]*call
 	lastID  uint64
+
+	owedMu sync.Mutex
+	// owed holds the frames that sendOwed has yet to send. The calls on the link bound
+	// it: each owes at most creditWindow credits and two cancels.
+	owed        []wire.Header
+	sendingOwed bool // a goroutine runs sendOwed
 }
 
 func newLink(p *Peers, conn *websocket.Conn, host prim.HostName) *link {
@@ -74,23 +80,21 @@
 		releaseBuffer(buf)
 		return false, err
 	}
-	select {
-	case l.writeSem <- struct{}{}:
-	case <-ctx.Done():
-		err = ctx.Err()
-	case <-l.done:
-		err = errLinkClosed
-	}
-	if err != nil {
+	if err := l.acquireWriteSem(ctx); err != nil {
 		releaseBuffer(buf)
 		return false, err
 	}
 	if len(*buf) <= maxPieceBytes {
+		defer l.releaseWriteSem()
 		return true, l.writeBuffer(buf)
 	}
 	l.writingLong.Store(true)
 	written := make(chan error, 1)
-	go func() { written <- l.writeBuffer(buf) }() // shutDown waits for its end
+	go func() { // shutDown waits for its end
+		defer l.releaseWriteSem()
+		defer l.writingLong.Store(false)
+		written <- l.writeBuffer(buf)
+	}()
 	select {
 	case err := <-written:
 		return true, err
@@ -99,13 +103,22 @@
 	}
 }
 
-// writeBuffer writes the frame in buf, then releases buf and the caller's writeSem.
+func (l *link) acquireWriteSem(ctx context.Context) error {
+	select {
+	case l.writeSem <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-l.done:
+		return errLinkClosed
+	}
+}
+
+func (l *link) releaseWriteSem() { <-l.writeSem }
+
+// writeBuffer writes the frame in buf and releases buf. The caller holds writeSem.
 func (l *link) writeBuffer(buf *[]byte) error {
-	defer func() {
-		releaseBuffer(buf)
-		l.writingLong.Store(false)
-		<-l.writeSem
-	}()
+	defer releaseBuffer(buf)
 	if err := l.writeMessage(*buf); err != nil {
 		l.conn.CloseNow()
 		return err
@@ -230,7 +243,7 @@
 // cancelCall unregisters a call and cancels it at the other side.
 func (l *link) cancelCall(c *call) {
 	l.dropCall(c)
-	l.sendBestEffort(wire.Header{Type: wire.Cancel, ID: c.id})
+	l.sendSurely(wire.Header{Type: wire.Cancel, ID: c.id})
 }
 
 // dropCall unregisters a call. A response that arrives later is dropped.
@@ -316,3 +329,52 @@
 	defer cancel()
 	l.writeFrame(ctx, &h, nil)
 }
+
+// sendSurely sends a frame without a body as soon as the link is free, after those of
+// earlier calls of sendSurely. It does not wait for the link; only the link's end loses
+// the frame. No response is awaited.
+func (l *link) sendSurely(h wire.Header) {
+	l.owedMu.Lock()
+	l.owed = append(l.owed, h)
+	start := !l.sendingOwed
+	l.sendingOwed = true
+	l.owedMu.Unlock()
+	if start && !l.peers.workerPool.runJob(l.sendOwed) {
+		l.sendOwed()
+	}
+}
+
+// sendOwed sends the frames in owed until there are none or the link has ended. It holds
+// writeSem for all that are owed, so that calls on a contended link cannot add to owed
+// faster than it is sent.
+func (l *link) sendOwed() {
+	for l.acquireWriteSem(l.peers.ctx) == nil {
+		l.owedMu.Lock()
+		owed := l.owed
+		l.owed = nil
+		l.owedMu.Unlock()
+		for _, h := range owed {
+			if l.writeOwed(&h) != nil {
+				break // the link is closed
+			}
+		}
+		l.releaseWriteSem()
+		l.owedMu.Lock()
+		l.sendingOwed = len(l.owed) > 0
+		more := l.sendingOwed
+		l.owedMu.Unlock()
+		if !more {
+			return
+		}
+	}
+}
+
+// writeOwed writes a frame without a body. The caller holds writeSem.
+func (l *link) writeOwed(h *wire.Header) (err error) {
+	buf := frameBuffers.Get().(*[]byte)
+	if *buf, err = wire.Append((*buf)[:0], h, nil); err != nil {
+		releaseBuffer(buf)
+		return err
+	}
+	return l.writeBuffer(buf)
+}
--- a/peers/liveness_test.go
+++ b/peers/liveness_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http/httptest"
 	"net/netip"
@@ -28,18 +29,28 @@
 	ended   chan prim.HostName
 	release chan struct{} // each value lets the owner at b answer one request
 	panics  atomic.Bool   // a panics when it receives a sample
+	// cancelled has the reason why each request ended that got no value of release.
+	cancelled chan error
 }
 
+// streamBytes is the length of the answer to the path /stream, sent in parts.
+const streamBytes = 2 << 20
+
 func newPair(t *testing.T) *pair {
 	is := is.New(t)
 	p := &pair{
 		samples: make(chan prim.LoadSample, 16), ended: make(chan prim.HostName, 16), release: make(chan struct{}),
+		cancelled: make(chan error, 16),
 	}
-	owner := &fakeOwner{run: func(ctx context.Context, _ *prim.Request) (*prim.Answer, error) {
+	owner := &fakeOwner{run: func(ctx context.Context, r *prim.Request) (*prim.Answer, error) {
+		if r.Path == "/stream" {
+			return &prim.Answer{Status: 200, Rest: io.NopCloser(bytes.NewReader(make([]byte, streamBytes)))}, nil
+		}
 		select {
 		case <-p.release:
 			return &prim.Answer{Status: 200}, nil
 		case <-ctx.Done():
+			p.cancelled <- ctx.Err()
 			return nil, &prim.LostAnswerError{Cause: ctx.Err()}
 		}
 	}}
@@ -143,10 +154,50 @@
 	is.True(errors.Is(err, context.DeadlineExceeded))
 	is.True(p.a.Status().BytesOut < int64(len(body))) // the frame is still being written
 	p.proxy.SetDelay(0)
-	for p.a.Status().BytesOut < int64(len(body)) {
+	is.Equal(<-p.cancelled, context.Canceled) // not context.DeadlineExceeded
+	is.Equal(len(p.ended), 0)
+}
+
+// Guards against credits and cancels that are lost because the link is busy with a long
+// frame: an answer would stop for ever, and an owner would work for a client that has gone.
+func TestBusyLinkKeepsCreditsAndCancels(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	p.b.Handle("Test", func(context.Context, prim.HostName, prim.Message) (prim.Message, error) {
+		return prim.Message{Kind: "Test"}, nil
+	})
+	deadline := time.Now().Add(time.Minute)
+	answer, err := p.a.Owner("b").Dispatch(t.Context(), &prim.Request{Path: "/stream", Deadline: deadline})
+	is.NoErr(err)
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := p.a.Owner("b").Dispatch(ctx, &prim.Request{Deadline: deadline})
+		ended <- err
+	}()
+	const window = 512 << 10 // what b may send without credits
+	for p.b.Status().Serving < 2 || p.a.Status().BytesIn < window {
 		time.Sleep(time.Millisecond)
 	}
-	is.Equal(len(p.ended), 0)
+	p.proxy.SetDelay(60 * time.Millisecond) // for each 16 KiB
+	long := make(chan error, 1)
+	go func() {
+		_, err := p.a.Ask(t.Context(), "b", prim.Message{Kind: "Test", Body: make([]byte, wire.MaxBodyBytes)})
+		long <- err
+	}()
+	for !p.a.WritingLong("b") {
+		time.Sleep(time.Millisecond)
+	}
+	stop()
+	is.Equal(prim.OutcomeOf(<-ended), prim.Unknown)
+	n, err := io.CopyN(io.Discard, answer.Rest, window)
+	is.NoErr(err)
+	p.proxy.SetDelay(0)
+	is.NoErr(<-long)
+	is.Equal(<-p.cancelled, context.Canceled) // not context.DeadlineExceeded
+	rest, err := io.Copy(io.Discard, answer.Rest)
+	is.NoErr(err)
+	is.Equal(n+rest, int64(streamBytes))
 }
 
 // Guards against short calls that wait behind a long request although another link to
--- a/peers/stream.go
+++ b/peers/stream.go
@@ -91,7 +91,7 @@
 	grantCredit := consumed && r.err == nil
 	r.mu.Unlock()
 	if grantCredit {
-		r.link.sendBestEffort(wire.Header{Type: wire.Credit, ID: r.call.id})
+		r.link.sendSurely(wire.Header{Type: wire.Credit, ID: r.call.id})
 	}
 	return n, nil
 }
