--- a/peers/link.go
+++ b/peers/link.go
@@ -18,7 +18,7 @@
 // errLinkClosed is the cause of calls that fail because their link was closed.
 var errLinkClosed = errors.New("link closed")
 
-// link is one WebSocket connection. Each goroutine writes its frames itself,
+// link is one WebSocket connection. Each goroutine writes its short frames itself,
 // because a separate writer goroutine would add a hand-off between goroutines to
 // every hop.
 type link struct {
@@ -28,6 +28,8 @@
 	instance prim.Instance // of the other side; only set on dialled links
 	writeSem chan struct{} // serialises writes; unlike a mutex, waiting for it can be cancelled
 	done     chan struct{} // closed when the reader has ended
+	// writingLong is set while a frame longer than one piece is written.
+	writingLong atomic.Bool
 
 	unanswered atomic.Int64 // number of unanswered calls; only used on dialled links
 	// lastReceived is when a part of a frame was last received, in nanoseconds since epoch.
@@ -36,6 +38,12 @@
 	// pending holds the unanswered calls by id; nil once the link is closed.
 	pending map[uint64]*call
 	lastID  uint64
+
+	owedMu sync.Mutex
+	// owed holds the frames that sendOwed has yet to send. The calls on the link bound
+	// it: each owes at most creditWindow credits and two cancels.
+	owed        []wire.Header
+	sendingOwed bool // a goroutine runs sendOwed
 }
 
 func newLink(p *Peers, conn *websocket.Conn, host prim.HostName) *link {
@@ -60,34 +68,69 @@
 // maxPooledBytes is the capacity of the largest buffer that is kept for reuse.
 const maxPooledBytes = 256 << 10
 
-// writeFrame sends one frame. The context bounds only the wait for writeSem; a write
-// that has started ends when it makes no progress for writeTimeout, and if it fails the
-// link is closed. If sent is false, nothing of the frame was written.
+// writeFrame sends one frame. The context bounds the wait for writeSem and, for a frame
+// longer than one piece, the wait for the end of the write. A write that has started ends
+// by itself when a piece of the frame takes longer than writeTimeout or stallTimeout, and
+// if it fails the link is closed. If sent is false, nothing of the frame was written; if
+// it is true, the frame may still arrive whatever err is.
 func (l *link) writeFrame(ctx context.Context, h *wire.Header, body []byte) (sent bool, err error) {
 	buf := frameBuffers.Get().(*[]byte)
-	defer func() {
-		if cap(*buf) <= maxPooledBytes {
-			frameBuffers.Put(buf)
-		}
-	}()
 	*buf, err = wire.Append((*buf)[:0], h, body)
 	if err != nil {
+		releaseBuffer(buf)
+		return false, err
+	}
+	if err := l.acquireWriteSem(ctx); err != nil {
+		releaseBuffer(buf)
 		return false, err
 	}
+	if len(*buf) <= maxPieceBytes {
+		defer l.releaseWriteSem()
+		return true, l.writeBuffer(buf)
+	}
+	l.writingLong.Store(true)
+	written := make(chan error, 1)
+	go func() { // shutDown waits for its end
+		defer l.releaseWriteSem()
+		defer l.writingLong.Store(false)
+		written <- l.writeBuffer(buf)
+	}()
+	select {
+	case err := <-written:
+		return true, err
+	case <-ctx.Done():
+		return true, ctx.Err()
+	}
+}
+
+func (l *link) acquireWriteSem(ctx context.Context) error {
 	select {
 	case l.writeSem <- struct{}{}:
+		return nil
 	case <-ctx.Done():
-		return false, ctx.Err()
+		return ctx.Err()
 	case <-l.done:
-		return false, errLinkClosed
+		return errLinkClosed
 	}
-	defer func() { <-l.writeSem }()
+}
+
+func (l *link) releaseWriteSem() { <-l.writeSem }
+
+// writeBuffer writes the frame in buf and releases buf. The caller holds writeSem.
+func (l *link) writeBuffer(buf *[]byte) error {
+	defer releaseBuffer(buf)
 	if err := l.writeMessage(*buf); err != nil {
 		l.conn.CloseNow()
-		return true, err
+		return err
 	}
 	l.peers.bytesOut.Add(int64(len(*buf)))
-	return true, nil
+	return nil
+}
+
+func releaseBuffer(buf *[]byte) {
+	if cap(*buf) <= maxPooledBytes {
+		frameBuffers.Put(buf)
+	}
 }
 
 // writeMessage writes a WebSocket message in pieces. The caller holds writeSem.
@@ -107,7 +150,7 @@
 		if _, err := w.Write(piece); err != nil {
 			return err
 		}
-		stalled.Reset(writeTimeout)
+		stalled.Reset(stallTimeout)
 	}
 	return w.Close()
 }
@@ -197,6 +240,12 @@
 	return c, nil
 }
 
+// cancelCall unregisters a call and cancels it at the other side.
+func (l *link) cancelCall(c *call) {
+	l.dropCall(c)
+	l.sendSurely(wire.Header{Type: wire.Cancel, ID: c.id})
+}
+
 // dropCall unregisters a call. A response that arrives later is dropped.
 func (l *link) dropCall(c *call) {
 	l.mu.Lock()
@@ -208,7 +257,7 @@
 }
 
 // shutDown closes the link and ends all calls by closing their channels without a
-// reply. The reader calls it once, when it has ended.
+// reply. It waits for the write in progress. The reader calls it once, when it has ended.
 func (l *link) shutDown() {
 	l.mu.Lock()
 	pending := l.pending
@@ -223,6 +272,7 @@
 	}
 	close(l.done)
 	l.conn.CloseNow()
+	l.writeSem <- struct{}{}
 }
 
 // deliverFrame passes a frame from the accepting side to the call that it answers. A
@@ -279,3 +329,52 @@
 	defer cancel()
 	l.writeFrame(ctx, &h, nil)
 }
+
+// sendSurely sends a frame without a body as soon as the link is free, after those of
+// earlier calls of sendSurely. It does not wait for the link; only the link's end loses
+// the frame. No response is awaited.
+func (l *link) sendSurely(h wire.Header) {
+	l.owedMu.Lock()
+	l.owed = append(l.owed, h)
+	start := !l.sendingOwed
+	l.sendingOwed = true
+	l.owedMu.Unlock()
+	if start && !l.peers.workerPool.runJob(l.sendOwed) {
+		l.sendOwed()
+	}
+}
+
+// sendOwed sends the frames in owed until there are none or the link has ended. It holds
+// writeSem for all that are owed, so that calls on a contended link cannot add to owed
+// faster than it is sent.
+func (l *link) sendOwed() {
+	for l.acquireWriteSem(l.peers.ctx) == nil {
+		l.owedMu.Lock()
+		owed := l.owed
+		l.owed = nil
+		l.owedMu.Unlock()
+		for _, h := range owed {
+			if l.writeOwed(&h) != nil {
+				break // the link is closed
+			}
+		}
+		l.releaseWriteSem()
+		l.owedMu.Lock()
+		l.sendingOwed = len(l.owed) > 0
+		more := l.sendingOwed
+		l.owedMu.Unlock()
+		if !more {
+			return
+		}
+	}
+}
+
+// writeOwed writes a frame without a body. The caller holds writeSem.
+func (l *link) writeOwed(h *wire.Header) (err error) {
+	buf := frameBuffers.Get().(*[]byte)
+	if *buf, err = wire.Append((*buf)[:0], h, nil); err != nil {
+		releaseBuffer(buf)
+		return err
+	}
+	return l.writeBuffer(buf)
+}
--- a/peers/liveness_test.go
+++ b/peers/liveness_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http/httptest"
 	"net/netip"
@@ -27,18 +29,28 @@
 	ended   chan prim.HostName
 	release chan struct{} // each value lets the owner at b answer one request
 	panics  atomic.Bool   // a panics when it receives a sample
+	// cancelled has the reason why each request ended that got no value of release.
+	cancelled chan error
 }
 
+// streamBytes is the length of the answer to the path /stream, sent in parts.
+const streamBytes = 2 << 20
+
 func newPair(t *testing.T) *pair {
 	is := is.New(t)
 	p := &pair{
 		samples: make(chan prim.LoadSample, 16), ended: make(chan prim.HostName, 16), release: make(chan struct{}),
+		cancelled: make(chan error, 16),
 	}
-	owner := &fakeOwner{run: func(ctx context.Context, _ *prim.Request) (*prim.Answer, error) {
+	owner := &fakeOwner{run: func(ctx context.Context, r *prim.Request) (*prim.Answer, error) {
+		if r.Path == "/stream" {
+			return &prim.Answer{Status: 200, Rest: io.NopCloser(bytes.NewReader(make([]byte, streamBytes)))}, nil
+		}
 		select {
 		case <-p.release:
 			return &prim.Answer{Status: 200}, nil
 		case <-ctx.Done():
+			p.cancelled <- ctx.Err()
 			return nil, &prim.LostAnswerError{Cause: ctx.Err()}
 		}
 	}}
@@ -67,6 +79,7 @@
 		OnUnlinked: func(h prim.HostName) { p.ended <- h },
 	})
 	is.NoErr(err)
+	p.a.LimitWriteBuffer()
 	t.Cleanup(func() {
 		p.proxy.Close()
 		p.a.Close()
@@ -91,30 +104,127 @@
 // Guards against links that are closed, with all calls on them, because a long message
 // takes longer than a timeout on a slow network although its bytes arrive.
 func TestLongMessageOnSlowNetwork(t *testing.T) {
+	for _, delay := range []time.Duration{30 * time.Millisecond, 60 * time.Millisecond} { // for each 16 KiB
+		t.Run(delay.String(), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			p := newPair(t)
+			body := bytes.Repeat([]byte("x"), wire.MaxBodyBytes)
+			p.b.Handle("Test", func(context.Context, prim.HostName, prim.Message) (prim.Message, error) {
+				return prim.Message{Kind: "Test", Body: body}, nil
+			})
+			_, err := p.a.Ask(t.Context(), "b", prim.Message{Kind: peers.KindPing})
+			is.NoErr(err)
+			p.proxy.SetDelay(delay)
+			// Three quarters of the least time that the message takes.
+			closeAfter := delay * wire.MaxBodyBytes / (16 << 10) * 3 / 4
+			ctx, stop := context.WithCancel(t.Context())
+			checked := make(chan error, 1)
+			go func() {
+				for ctx.Err() == nil {
+					p.a.CheckLinks(closeAfter/2, closeAfter)
+					waits.Sleep(ctx, 100*time.Millisecond)
+				}
+				checked <- ctx.Err()
+			}()
+			reply, err := p.a.Ask(t.Context(), "b", prim.Message{Kind: "Test"})
+			stop()
+			<-checked
+			is.NoErr(err)
+			is.Equal(len(reply.Body), len(body))
+			is.Equal(len(p.ended), 0)
+		})
+	}
+}
+
+// Guards against a call that outlives its context because its long request is being
+// written to a slow network, and against one that is reported as NotRun although the
+// request may still arrive.
+func TestLongRequestEndsWithContext(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	_, err := p.a.Ask(t.Context(), "b", prim.Message{Kind: peers.KindPing})
+	is.NoErr(err)
+	p.proxy.SetDelay(60 * time.Millisecond) // for each 16 KiB
+	ctx, stop := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer stop()
+	body := make([]byte, 1<<20)
+	_, err = p.a.Owner("b").Dispatch(ctx, &prim.Request{Deadline: time.Now().Add(time.Minute), Body: body})
+	is.Equal(prim.OutcomeOf(err), prim.Unknown)
+	is.True(errors.Is(err, context.DeadlineExceeded))
+	is.True(p.a.Status().BytesOut < int64(len(body))) // the frame is still being written
+	p.proxy.SetDelay(0)
+	is.Equal(<-p.cancelled, context.Canceled) // not context.DeadlineExceeded
+	is.Equal(len(p.ended), 0)
+}
+
+// Guards against credits and cancels that are lost because the link is busy with a long
+// frame: an answer would stop for ever, and an owner would work for a client that has gone.
+func TestBusyLinkKeepsCreditsAndCancels(t *testing.T) {
 	is := is.New(t)
 	p := newPair(t)
-	body := bytes.Repeat([]byte("x"), wire.MaxBodyBytes)
 	p.b.Handle("Test", func(context.Context, prim.HostName, prim.Message) (prim.Message, error) {
-		return prim.Message{Kind: "Test", Body: body}, nil
+		return prim.Message{Kind: "Test"}, nil
 	})
-	_, err := p.a.Ask(t.Context(), "b", prim.Message{Kind: peers.KindPing})
+	deadline := time.Now().Add(time.Minute)
+	answer, err := p.a.Owner("b").Dispatch(t.Context(), &prim.Request{Path: "/stream", Deadline: deadline})
 	is.NoErr(err)
-	p.proxy.SetDelay(30 * time.Millisecond) // for each 16 KiB
 	ctx, stop := context.WithCancel(t.Context())
-	checked := make(chan error, 1)
+	ended := make(chan error, 1)
 	go func() {
-		for ctx.Err() == nil {
-			p.a.CheckLinks(400*time.Millisecond, 1200*time.Millisecond)
-			waits.Sleep(ctx, 100*time.Millisecond)
-		}
-		checked <- ctx.Err()
+		_, err := p.a.Owner("b").Dispatch(ctx, &prim.Request{Deadline: deadline})
+		ended <- err
 	}()
-	reply, err := p.a.Ask(t.Context(), "b", prim.Message{Kind: "Test"})
-	is.NoErr(err)
-	is.Equal(len(reply.Body), len(body))
+	const window = 512 << 10 // what b may send without credits
+	for p.b.Status().Serving < 2 || p.a.Status().BytesIn < window {
+		time.Sleep(time.Millisecond)
+	}
+	p.proxy.SetDelay(60 * time.Millisecond) // for each 16 KiB
+	long := make(chan error, 1)
+	go func() {
+		_, err := p.a.Ask(t.Context(), "b", prim.Message{Kind: "Test", Body: make([]byte, wire.MaxBodyBytes)})
+		long <- err
+	}()
+	for !p.a.WritingLong("b") {
+		time.Sleep(time.Millisecond)
+	}
 	stop()
-	<-checked
-	is.Equal(len(p.ended), 0)
+	is.Equal(prim.OutcomeOf(<-ended), prim.Unknown)
+	n, err := io.CopyN(io.Discard, answer.Rest, window)
+	is.NoErr(err)
+	p.proxy.SetDelay(0)
+	is.NoErr(<-long)
+	is.Equal(<-p.cancelled, context.Canceled) // not context.DeadlineExceeded
+	rest, err := io.Copy(io.Discard, answer.Rest)
+	is.NoErr(err)
+	is.Equal(n+rest, int64(streamBytes))
+}
+
+// Guards against short calls that wait behind a long request although another link to
+// the host may be dialled.
+func TestShortCallAvoidsBusyLink(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	p.b.Handle("Test", func(context.Context, prim.HostName, prim.Message) (prim.Message, error) {
+		return prim.Message{Kind: "Test"}, nil
+	})
+	ping := func() {
+		_, err := p.a.Ask(t.Context(), "b", prim.Message{Kind: peers.KindPing})
+		is.NoErr(err)
+	}
+	ping()
+	p.proxy.SetDelay(60 * time.Millisecond) // for each 16 KiB
+	long := make(chan error, 1)
+	go func() {
+		_, err := p.a.Ask(t.Context(), "b", prim.Message{Kind: "Test", Body: make([]byte, wire.MaxBodyBytes)})
+		long <- err
+	}()
+	for p.a.Status().Dialled < 2 && len(long) == 0 {
+		ping()
+	}
+	ping()
+	is.Equal(len(long), 0)
+	is.NoErr(<-long)
 }
 
 // Guards against pushed load samples that do not reach the nodes that have
--- a/peers/stream.go
+++ b/peers/stream.go
@@ -91,7 +91,7 @@
 	grantCredit := consumed && r.err == nil
 	r.mu.Unlock()
 	if grantCredit {
-		r.link.sendBestEffort(wire.Header{Type: wire.Credit, ID: r.call.id})
+		r.link.sendSurely(wire.Header{Type: wire.Credit, ID: r.call.id})
 	}
 	return n, nil
 }
@@ -109,8 +109,7 @@
 	r.changed.Broadcast()
 	r.mu.Unlock()
 	if unfinished {
-		r.link.dropCall(r.call)
-		r.link.sendBestEffort(wire.Header{Type: wire.Cancel, ID: r.call.id})
+		r.link.cancelCall(r.call)
 	}
 	return nil
 }
