--- a/wire/frame.go
+++ b/wire/frame.go
@@ -98,6 +98,10 @@
 	RetryAfter time.Duration `cbor:"32,keyasint,omitempty"`
 	// PreviouslyRefused is set if an owner has already refused the request.
 	PreviouslyRefused bool `cbor:"33,keyasint,omitempty"`
+	// BodyBytes is the length of the body; Append sets it. Peers of earlier versions
+	// send 0. A WebSocket message that is sent in parts seems complete if its connection
+	// ends between two of them.
+	BodyBytes int `cbor:"34,keyasint,omitempty"`
 }
 
 // FrameError reports a frame that can't be encoded or decoded, or that violates
@@ -140,8 +144,10 @@
 	}
 }
 
-// Append appends the encoded frame to b and returns the extended slice.
+// Append appends the encoded frame to b and returns the extended slice. It sets
+// h.BodyBytes.
 func Append(b []byte, h *Header, body []byte) ([]byte, error) {
+	h.BodyBytes = len(body)
 	header, err := encMode.Marshal(h)
 	if err != nil {
 		return b, &FrameError{Problem: "header can't be encoded", Cause: err}
@@ -178,6 +184,9 @@
 	if err := decMode.Unmarshal(message[lengthPrefixBytes:lengthPrefixBytes+n], &h); err != nil {
 		return h, nil, &FrameError{Problem: "header can't be decoded", Cause: err}
 	}
+	if h.BodyBytes != 0 && h.BodyBytes != len(body) {
+		return h, nil, &FrameError{Problem: "truncated body", Cause: fmt.Errorf("%d of %d bytes", len(body), h.BodyBytes)}
+	}
 	if h.Type < Dispatch || h.Type > LoadSample {
 		return h, nil, &FrameError{Problem: "unknown type", Cause: fmt.Errorf("type %d", h.Type)}
 	}
--- a/wire/frame_test.go
+++ b/wire/frame_test.go
@@ -100,3 +100,21 @@
 	f.Add(b)
 	f.Fuzz(func(_ *testing.T, b []byte) { wire.Split(b) })
 }
+
+// Guards against a frame that looks complete although its connection ended between two
+// parts of it, for example a request whose body would run in part.
+func TestTruncatedBodyIsRefused(t *testing.T) {
+	is := is.New(t)
+	for _, n := range []int{4, 1 << 10, 64 << 10} {
+		b, err := wire.Append(nil, &wire.Header{Type: wire.Dispatch, ID: 1}, make([]byte, n))
+		is.NoErr(err)
+		_, body, err := wire.Split(b)
+		is.NoErr(err)
+		is.Equal(len(body), n)
+		for _, missing := range []int{1, n / 2, n} {
+			_, _, err = wire.Split(b[:len(b)-missing])
+			var frameErr *wire.FrameError
+			is.True(errors.As(err, &frameErr))
+		}
+	}
+}
