soak: no request is rejected with a 3xx or 4xx

Cause: callers got 404 for routes in force, and the soak did not look for it: a request with such a status only counted as not served, and only after the faults. Change: checkAnswers reports every response with a status from 300 to 499, from any host at any time, with request, path, host, status and time. The paths that clients use are in every configuration, and a node without one answers 503. The summary line has the number of such responses, since only the first 20 violations are kept. TestRejectedRequests passes with -race.

--- a/cmd/soak/check.go
+++ b/cmd/soak/check.go
@@ -48,6 +48,10 @@
 	undisturbed bool // no fault affected the host or the store while the request ran
 }
 
+// rejected reports whether the response has a status of redirects or client errors.
+// Nodes pass on no such status from a server.
+func (r requestResult) rejected() bool { return r.status >= 300 && r.status < 500 }
+
 // runSeed runs the faults and requests of one seed. It returns a summary line, and
 // an error that lists the violations found.
 func runSeed(ctx context.Context, c config) (report string, err error) {
@@ -87,7 +91,8 @@
 	load.Wait()
 	d.checkAnswers(results.results, recoveredAt)
 	d.checkRuns(results.results)
-	report = fmt.Sprintf("%d requests, %d served", len(results.results), results.count(func(res requestResult) bool { return res.status == 200 }))
+	report = fmt.Sprintf("%d requests, %d served, %d rejected", len(results.results),
+		results.count(func(res requestResult) bool { return res.status == 200 }), results.count(requestResult.rejected))
 	if len(d.violations) > 0 {
 		return report, errors.New("violations: " + strings.Join(d.violations, "\n        ") + "\n        logs in " + d.folder)
 	}
@@ -168,13 +173,17 @@
 }
 
 // checkAnswers checks the responses that clients got: bodies belong to their
-// requests, and requests sent after recoveredAt are served.
+// requests, no request is rejected, since the paths are in every configuration, and
+// requests sent after recoveredAt are served.
 func (d *deployment) checkAnswers(list []requestResult, recoveredAt time.Time) {
 	sent, served := 0, 0
 	for _, res := range list {
 		if res.status == 200 && res.err == nil && !strings.Contains(res.body, " answers "+res.id+" with ") {
 			d.fail("request %s got the body %q", res.id, res.body)
 		}
+		if res.rejected() {
+			d.fail("request %s for %s at host %s, sent at %s, got status %d", res.id, res.path, res.host.name, res.sent.Format("15:04:05.000"), res.status)
+		}
 		if res.sent.After(recoveredAt) {
 			sent++
 			if res.status == 200 {
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -6,6 +6,8 @@
 	"path/filepath"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
 )
 
 var seed = flag.Uint64("soak-seed", 4, "seed of the short run")
@@ -24,3 +26,16 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against checks that miss a rejected request, and against one that reports
+// statuses that the node may use.
+func TestRejectedRequests(t *testing.T) {
+	is := is.New(t)
+	h := &host{name: "h1"}
+	for status, violations := range map[int]int{0: 0, 200: 0, 301: 1, 404: 1, 499: 1, 500: 0, 503: 0} {
+		d := &deployment{}
+		body := "orders answers q-1 with 0 bytes"
+		d.checkAnswers([]requestResult{{id: "q-1", path: "/safe/", host: h, status: status, body: body}}, time.Now().Add(time.Hour))
+		is.Equal(len(d.violations), violations) // status
+	}
+}
