soak: every node has the newest routes after the faults

Cause: a node that stays at an older version of the routes passed every check as long as that version has the same service for /safe/. Change: each version has one route with a path of its own and drops that of the version before. Once the deployment has recovered, each node is asked for both paths: 404 for the newest or anything else for the previous one is a violation that names host and version. checkRuns gets these requests too; they are not in the counts of the summary line.

--- a/cmd/soak/check.go
+++ b/cmd/soak/check.go
@@ -86,11 +86,12 @@
 	// them may fail.
 	waits.Sleep(ctx, recoveryTime+2*time.Second)
 	recoveredAt := time.Now()
+	versionResults := d.checkVersions()
 	waits.Sleep(ctx, 2*time.Second)
 	stopLoad()
 	load.Wait()
 	d.checkAnswers(results.results, recoveredAt)
-	d.checkRuns(results.results)
+	d.checkRuns(append(versionResults, results.results...))
 	report = fmt.Sprintf("%d requests, %d served, %d rejected", len(results.results),
 		results.count(func(res requestResult) bool { return res.status == 200 }), results.count(requestResult.rejected))
 	if len(d.violations) > 0 {
@@ -198,6 +199,28 @@
 	}
 }
 
+// checkVersions checks that every node uses the newest version of the routes: it has
+// the path of that version and not that of the previous one. It returns the results of
+// its requests.
+func (d *deployment) checkVersions() (list []requestResult) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	d.mu.Lock()
+	version := d.version
+	d.mu.Unlock()
+	for _, h := range d.hosts {
+		newest := d.send(client, h, versionPath(version), nil)
+		if newest.status == http.StatusNotFound {
+			d.fail("host %s does not have the path of the newest version %08x of the routes: request %s got status 404", h.name, version, newest.id)
+		}
+		previous := d.send(client, h, versionPath(version-versionStep), nil)
+		if previous.status != http.StatusNotFound {
+			d.fail("host %s still has a path that version %08x of the routes dropped: request %s got status %d, %v", h.name, version, previous.id, previous.status, previous.err)
+		}
+		list = append(list, newest, previous)
+	}
+	return list
+}
+
 // checkNoRequests checks that a server which was taken out of service gets no
 // request later than bound after that. It checks nothing if a fault affected any
 // host or the store meanwhile.
--- a/cmd/soak/deployment.go
+++ b/cmd/soak/deployment.go
@@ -224,13 +224,21 @@
 	}
 }
 
+// versionStep is the difference between the numbers of consecutive versions of the routes.
+const versionStep = 3
+
+// versionPath returns the path that has a route only in one version of the routes.
+func versionPath(version uint64) string { return fmt.Sprintf("/v%04x/", version) }
+
 // publishRoutes writes the next version of the operator configuration to the store, with
-// a route from the path /safe/ to a service.
+// routes from the path /safe/ and that of the version to a service.
 func (d *deployment) publishRoutes(service string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.routes["/safe/"] = service
-	d.version += 3
+	delete(d.routes, versionPath(d.version))
+	d.version += versionStep
+	d.routes[versionPath(d.version)] = service
 	rows := [][]any{}
 	for path, service := range d.routes {
 		kind := "safe"
