soak: half of the restores are followed by writes of the lost keys only

Cause: after a restore every key was written again, so the store's revision soon passed the lost ones. If only lost keys are written it stays below them for longer. Change: the deployment numbers its writes. With probability 1/2, drawn from the fault's random numbers, writeAgain repeats only those after the copy; else all, as before.

--- a/cmd/soak/deployment.go
+++ b/cmd/soak/deployment.go
@@ -85,7 +85,8 @@
 	// writeMu is held while the operator or a server writes to the store, so that the
 	// writes to a key are remembered in the order in which the store has them.
 	writeMu sync.Mutex
-	written map[string]any // value that was last written to each key, nil if it was deleted
+	written map[string]write // last write to each key
+	writes  int              // number of writes so far
 
 	restoreMu    sync.Mutex // held from the copy to the end of the rewrite; locked before storeFaultMu
 	storeFaultMu sync.Mutex // held during a fault of the store, which can have only one
@@ -97,6 +98,12 @@
 	violations      []string
 }
 
+// write is a write to a key of the store.
+type write struct {
+	value  any // nil if the key was deleted
+	number int // in the order of all writes, from 1 on
+}
+
 // routeChange is a change of the service that serves the path /safe/.
 type routeChange struct {
 	at      time.Time
@@ -118,7 +125,7 @@
 }
 
 func newDeployment(c config) (*deployment, error) {
-	d := &deployment{c: c, store: fakes.NewStore(), written: make(map[string]any), routes: map[string]string{"/unsafe/": "orders", "/other/": "stock"}}
+	d := &deployment{c: c, store: fakes.NewStore(), written: make(map[string]write), routes: map[string]string{"/unsafe/": "orders", "/other/": "stock"}}
 	var err error
 	if d.folder = c.folder; d.folder == "" {
 		if d.folder, err = os.MkdirTemp("", "soak"); err != nil {
@@ -195,24 +202,34 @@
 func (d *deployment) write(key string, value any) {
 	d.writeMu.Lock()
 	defer d.writeMu.Unlock()
-	d.written[key] = value
+	d.writes++
+	d.written[key] = write{value, d.writes}
 	d.writeRemembered(key)
 }
 
 // writeRemembered writes the last value of a key. The caller holds d.writeMu.
 func (d *deployment) writeRemembered(key string) {
-	if value := d.written[key]; value != nil {
+	if value := d.written[key].value; value != nil {
 		d.store.Put(key, value)
 	} else {
 		d.store.Delete(key)
 	}
 }
 
-// writeAgain writes the last value of every key again, in random order within maxDuration.
-// Keys are deleted again too, since a restored copy may have them.
-func (d *deployment) writeAgain(ctx context.Context, r *rand.Rand, maxDuration time.Duration) {
+// copyStore returns a copy of the store and the number of writes that were made before.
+func (d *deployment) copyStore() (c *fakes.Snapshot, writes int) {
+	d.writeMu.Lock()
+	defer d.writeMu.Unlock()
+	return d.store.Copy(), d.writes
+}
+
+// writeAgain repeats the last write of each key if its number is above after, in random
+// order within maxDuration. Keys are deleted again too, since a restored copy may have
+// them.
+func (d *deployment) writeAgain(ctx context.Context, r *rand.Rand, after int, maxDuration time.Duration) {
 	d.writeMu.Lock()
 	keys := slices.Sorted(maps.Keys(d.written))
+	keys = slices.DeleteFunc(keys, func(key string) bool { return d.written[key].number <= after })
 	d.writeMu.Unlock()
 	r.Shuffle(len(keys), func(i, j int) { keys[i], keys[j] = keys[j], keys[i] })
 	begin, length := time.Now(), time.Duration(r.Int64N(int64(maxDuration)))
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -75,7 +75,7 @@
 		// Restores run one at a time: a copy from before another restore has what that lost.
 		d.restoreMu.Lock()
 		defer d.restoreMu.Unlock()
-		c := d.store.Copy()
+		c, copied := d.copyStore()
 		age := 500*time.Millisecond + time.Duration(r.IntN(2500))*time.Millisecond
 		beforeChange := time.Duration(r.Int64N(int64(age)))
 		waits.Sleep(ctx, beforeChange)
@@ -89,7 +89,10 @@
 		waits.Sleep(ctx, 200*time.Millisecond+time.Duration(r.IntN(800))*time.Millisecond)
 		d.store.Restore(c)
 		d.store.SetFault(fakes.NoFault)
-		d.writeAgain(ctx, r, time.Second)
+		if r.IntN(2) == 0 {
+			copied = 0 // all keys, not only what was lost
+		}
+		d.writeAgain(ctx, r, copied, time.Second)
 		d.storeFaultUntil.Store(time.Now().Add(recoveryTime).UnixNano())
 	}},
 	{"cut from store", func(ctx context.Context, d *deployment, h *host, r *rand.Rand) {
