soak: configurations of some thousand routes on slow links

Cause: state between nodes did not arrive with some thousand routes on slow links, and the soak publishes only a few routes. Change: fault "large configuration". A version with 2,000 to 6,000 routes more is published and stays for one to three times the usual duration of a fault; the links through proxies, also those to the store, pass each block of 16 KiB 5 to 30 ms later. Then a version without the routes follows. All hosts count as disturbed, as in "links"; the check for rejected requests makes no exception.

--- a/cmd/soak/deployment.go
+++ b/cmd/soak/deployment.go
@@ -90,9 +90,11 @@
 
 	restoreMu    sync.Mutex // held from the copy to the end of the rewrite; locked before storeFaultMu
 	storeFaultMu sync.Mutex // held during a fault of the store, which can have only one
+	largeMu      sync.Mutex // held during the fault "large configuration", since the end of one ends another too
 
 	mu              sync.Mutex
 	routes          map[string]string // service by path, as published
+	extraRoutes     int               // published besides routes
 	routeChanges    []routeChange     // of the path /safe/, oldest first
 	storeFaultUntil atomic.Int64      // end of the store's fault in Unix nanoseconds
 	violations      []string
@@ -264,6 +266,10 @@
 		}
 		rows = append(rows, []any{"r" + path, "a.example", path, kind, 2000, 200, 1, service, 2})
 	}
+	for i := range d.extraRoutes {
+		path := fmt.Sprintf("/extra%d/", i)
+		rows = append(rows, []any{"r" + path, "a.example", path, "safe", 2000, 200, 1, "stock", 2})
+	}
 	d.write("op/config", map[string]any{
 		"version": fmt.Sprintf("%08x", d.version),
 		"routes":  map[string]any{"columns": []string{"name", "host", "prefix", "kind", "timeout_ms", "slo_ms", "priority", "service", "attempts"}, "rows": rows},
@@ -273,6 +279,14 @@
 	d.routeChanges = append(d.routeChanges, routeChange{time.Now(), service})
 }
 
+// publishExtraRoutes publishes a version with a number of routes that no client uses.
+func (d *deployment) publishExtraRoutes(count int, service string) {
+	d.mu.Lock()
+	d.extraRoutes = count
+	d.mu.Unlock()
+	d.publishRoutes(service)
+}
+
 // otherService returns a service to which no route leads from the path /safe/.
 func (d *deployment) otherService() string {
 	d.mu.Lock()
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -109,9 +109,7 @@
 		if h.peerProxy == nil {
 			return
 		}
-		for _, o := range d.hosts {
-			o.markDisturbed(time.Hour) // each may have a request in flight to h
-		}
+		d.markAllDisturbed(time.Hour) // each may have a request in flight to h
 		switch r.IntN(3) {
 		case 0:
 			h.peerProxy.Reset()
@@ -123,13 +121,25 @@
 		sleepFaultDuration(ctx, r)
 		h.peerProxy.SetDelay(0)
 		h.peerProxy.SetSilent(false, false)
-		for _, o := range d.hosts {
-			o.markDisturbed(recoveryTime)
-		}
+		d.markAllDisturbed(recoveryTime)
 	}},
 	{"routes", func(ctx context.Context, d *deployment, h *host, r *rand.Rand) {
 		d.publishRoutes([]string{"orders", "stock"}[r.IntN(2)])
 	}},
+	{"large configuration", func(ctx context.Context, d *deployment, h *host, r *rand.Rand) {
+		d.largeMu.Lock()
+		defer d.largeMu.Unlock()
+		d.markAllDisturbed(time.Hour)
+		d.delayLinks(time.Duration(5+r.IntN(26)) * time.Millisecond)
+		d.publishExtraRoutes(2000+r.IntN(4001), d.otherService())
+		for range 1 + r.IntN(3) {
+			sleepFaultDuration(ctx, r)
+			d.markAllDisturbed(time.Hour) // the end of another fault may have set an earlier time
+		}
+		d.delayLinks(0)
+		d.publishExtraRoutes(0, d.otherService())
+		d.markAllDisturbed(recoveryTime)
+	}},
 	{"evacuate", func(ctx context.Context, d *deployment, h *host, r *rand.Rand) {
 		at := time.Now()
 		d.write("op/evacuate/"+h.dataCentre, struct{}{})
@@ -171,6 +181,23 @@
 	}},
 }
 
+// markAllDisturbed marks every host as disturbed for a time from now on.
+func (d *deployment) markAllDisturbed(duration time.Duration) {
+	for _, h := range d.hosts {
+		h.markDisturbed(duration)
+	}
+}
+
+// delayLinks delays every block of bytes on the links that have a proxy.
+func (d *deployment) delayLinks(delay time.Duration) {
+	for _, h := range d.hosts {
+		h.storeProxy.SetDelay(delay)
+		if h.peerProxy != nil {
+			h.peerProxy.SetDelay(delay)
+		}
+	}
+}
+
 // restartNode starts a host's node after its process has ended.
 func (d *deployment) restartNode(h *host) {
 	if err := d.startNode(h); err != nil {
