--- a/cmd/soak/check.go
+++ b/cmd/soak/check.go
@@ -48,6 +48,10 @@
 	undisturbed bool // no fault affected the host or the store while the request ran
 }
 
+// rejected reports whether the response has a status of redirects or client errors.
+// Nodes pass on no such status from a server.
+func (r requestResult) rejected() bool { return r.status >= 300 && r.status < 500 }
+
 // runSeed runs the faults and requests of one seed. It returns a summary line, and
 // an error that lists the violations found.
 func runSeed(ctx context.Context, c config) (report string, err error) {
@@ -82,12 +86,14 @@
 	// them may fail.
 	waits.Sleep(ctx, recoveryTime+2*time.Second)
 	recoveredAt := time.Now()
+	versionResults := d.checkVersions()
 	waits.Sleep(ctx, 2*time.Second)
 	stopLoad()
 	load.Wait()
 	d.checkAnswers(results.results, recoveredAt)
-	d.checkRuns(results.results)
-	report = fmt.Sprintf("%d requests, %d served", len(results.results), results.count(func(res requestResult) bool { return res.status == 200 }))
+	d.checkRuns(append(versionResults, results.results...))
+	report = fmt.Sprintf("%d requests, %d served, %d rejected", len(results.results),
+		results.count(func(res requestResult) bool { return res.status == 200 }), results.count(requestResult.rejected))
 	if len(d.violations) > 0 {
 		return report, errors.New("violations: " + strings.Join(d.violations, "\n        ") + "\n        logs in " + d.folder)
 	}
@@ -168,13 +174,17 @@
 }
 
 // checkAnswers checks the responses that clients got: bodies belong to their
-// requests, and requests sent after recoveredAt are served.
+// requests, no request is rejected, since the paths are in every configuration, and
+// requests sent after recoveredAt are served.
 func (d *deployment) checkAnswers(list []requestResult, recoveredAt time.Time) {
 	sent, served := 0, 0
 	for _, res := range list {
 		if res.status == 200 && res.err == nil && !strings.Contains(res.body, " answers "+res.id+" with ") {
 			d.fail("request %s got the body %q", res.id, res.body)
 		}
+		if res.rejected() {
+			d.fail("request %s for %s at host %s, sent at %s, got status %d", res.id, res.path, res.host.name, res.sent.Format("15:04:05.000"), res.status)
+		}
 		if res.sent.After(recoveredAt) {
 			sent++
 			if res.status == 200 {
@@ -189,6 +199,28 @@
 	}
 }
 
+// checkVersions checks that every node uses the newest version of the routes: it has
+// the path of that version and not that of the previous one. It returns the results of
+// its requests.
+func (d *deployment) checkVersions() (list []requestResult) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	d.mu.Lock()
+	version := d.version
+	d.mu.Unlock()
+	for _, h := range d.hosts {
+		newest := d.send(client, h, versionPath(version), nil)
+		if newest.status == http.StatusNotFound {
+			d.fail("host %s does not have the path of the newest version %08x of the routes: request %s got status 404", h.name, version, newest.id)
+		}
+		previous := d.send(client, h, versionPath(version-versionStep), nil)
+		if previous.status != http.StatusNotFound {
+			d.fail("host %s still has a path that version %08x of the routes dropped: request %s got status %d, %v", h.name, version, previous.id, previous.status, previous.err)
+		}
+		list = append(list, newest, previous)
+	}
+	return list
+}
+
 // checkNoRequests checks that a server which was taken out of service gets no
 // request later than bound after that. It checks nothing if a fault affected any
 // host or the store meanwhile.
--- a/cmd/soak/deployment.go
+++ b/cmd/soak/deployment.go
@@ -85,18 +85,27 @@
 	// writeMu is held while the operator or a server writes to the store, so that the
 	// writes to a key are remembered in the order in which the store has them.
 	writeMu sync.Mutex
-	written map[string]any // value that was last written to each key, nil if it was deleted
+	written map[string]write // last write to each key
+	writes  int              // number of writes so far
 
 	restoreMu    sync.Mutex // held from the copy to the end of the rewrite; locked before storeFaultMu
 	storeFaultMu sync.Mutex // held during a fault of the store, which can have only one
+	largeMu      sync.Mutex // held during the fault "large configuration", since the end of one ends another too
 
 	mu              sync.Mutex
 	routes          map[string]string // service by path, as published
+	extraRoutes     int               // published besides routes
 	routeChanges    []routeChange     // of the path /safe/, oldest first
 	storeFaultUntil atomic.Int64      // end of the store's fault in Unix nanoseconds
 	violations      []string
 }
 
+// write is a write to a key of the store.
+type write struct {
+	value  any // nil if the key was deleted
+	number int // in the order of all writes, from 1 on
+}
+
 // routeChange is a change of the service that serves the path /safe/.
 type routeChange struct {
 	at      time.Time
@@ -118,7 +127,7 @@
 }
 
 func newDeployment(c config) (*deployment, error) {
-	d := &deployment{c: c, store: fakes.NewStore(), written: make(map[string]any), routes: map[string]string{"/unsafe/": "orders", "/other/": "stock"}}
+	d := &deployment{c: c, store: fakes.NewStore(), written: make(map[string]write), routes: map[string]string{"/unsafe/": "orders", "/other/": "stock"}}
 	var err error
 	if d.folder = c.folder; d.folder == "" {
 		if d.folder, err = os.MkdirTemp("", "soak"); err != nil {
@@ -195,24 +204,34 @@
 func (d *deployment) write(key string, value any) {
 	d.writeMu.Lock()
 	defer d.writeMu.Unlock()
-	d.written[key] = value
+	d.writes++
+	d.written[key] = write{value, d.writes}
 	d.writeRemembered(key)
 }
 
 // writeRemembered writes the last value of a key. The caller holds d.writeMu.
 func (d *deployment) writeRemembered(key string) {
-	if value := d.written[key]; value != nil {
+	if value := d.written[key].value; value != nil {
 		d.store.Put(key, value)
 	} else {
 		d.store.Delete(key)
 	}
 }
 
-// writeAgain writes the last value of every key again, in random order within maxDuration.
-// Keys are deleted again too, since a restored copy may have them.
-func (d *deployment) writeAgain(ctx context.Context, r *rand.Rand, maxDuration time.Duration) {
+// copyStore returns a copy of the store and the number of writes that were made before.
+func (d *deployment) copyStore() (c *fakes.Snapshot, writes int) {
+	d.writeMu.Lock()
+	defer d.writeMu.Unlock()
+	return d.store.Copy(), d.writes
+}
+
+// writeAgain repeats the last write of each key if its number is above after, in random
+// order within maxDuration. Keys are deleted again too, since a restored copy may have
+// them.
+func (d *deployment) writeAgain(ctx context.Context, r *rand.Rand, after int, maxDuration time.Duration) {
 	d.writeMu.Lock()
 	keys := slices.Sorted(maps.Keys(d.written))
+	keys = slices.DeleteFunc(keys, func(key string) bool { return d.written[key].number <= after })
 	d.writeMu.Unlock()
 	r.Shuffle(len(keys), func(i, j int) { keys[i], keys[j] = keys[j], keys[i] })
 	begin, length := time.Now(), time.Duration(r.Int64N(int64(maxDuration)))
@@ -224,13 +243,21 @@
 	}
 }
 
+// versionStep is the difference between the numbers of consecutive versions of the routes.
+const versionStep = 3
+
+// versionPath returns the path that has a route only in one version of the routes.
+func versionPath(version uint64) string { return fmt.Sprintf("/v%04x/", version) }
+
 // publishRoutes writes the next version of the operator configuration to the store, with
-// a route from the path /safe/ to a service.
+// routes from the path /safe/ and that of the version to a service.
 func (d *deployment) publishRoutes(service string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.routes["/safe/"] = service
-	d.version += 3
+	delete(d.routes, versionPath(d.version))
+	d.version += versionStep
+	d.routes[versionPath(d.version)] = service
 	rows := [][]any{}
 	for path, service := range d.routes {
 		kind := "safe"
@@ -239,6 +266,10 @@
 		}
 		rows = append(rows, []any{"r" + path, "a.example", path, kind, 2000, 200, 1, service, 2})
 	}
+	for i := range d.extraRoutes {
+		path := fmt.Sprintf("/extra%d/", i)
+		rows = append(rows, []any{"r" + path, "a.example", path, "safe", 2000, 200, 1, "stock", 2})
+	}
 	d.write("op/config", map[string]any{
 		"version": fmt.Sprintf("%08x", d.version),
 		"routes":  map[string]any{"columns": []string{"name", "host", "prefix", "kind", "timeout_ms", "slo_ms", "priority", "service", "attempts"}, "rows": rows},
@@ -248,6 +279,14 @@
 	d.routeChanges = append(d.routeChanges, routeChange{time.Now(), service})
 }
 
+// publishExtraRoutes publishes a version with a number of routes that no client uses.
+func (d *deployment) publishExtraRoutes(count int, service string) {
+	d.mu.Lock()
+	d.extraRoutes = count
+	d.mu.Unlock()
+	d.publishRoutes(service)
+}
+
 // otherService returns a service to which no route leads from the path /safe/.
 func (d *deployment) otherService() string {
 	d.mu.Lock()
