roster: full reads that the registry requires in a row are delayed

Cause: a reader reads everything at once if the registry no longer has its history. A response of an earlier era counted as a registry that is lost, which puts back servers that others reported as removed.

--- a/roster/era_test.go
+++ b/roster/era_test.go
@@ -328,6 +328,44 @@
 	is.Equal(r.Placement().Routing.Version, uint64(3)) // versions order routes
 }
 
+// inconsistentRegistry is a registry whose watches are in another era than its full reads.
+type inconsistentRegistry struct{ *fakeRegistry }
+
+func (inconsistentRegistry) Changes(context.Context, prim.Revision, time.Duration) (prim.Published, prim.Revision, error) {
+	return prim.Published{}, 0, prim.ErrHistoryGone
+}
+
+// Guards against full reads without a pause, if the registry disagrees with itself or
+// with the other nodes about its era.
+func TestDisputedEraIsReadSlowly(t *testing.T) {
+	for name, start := range map[string]func(t *testing.T, g *fakeRegistry, r *Roster) prim.Registry{
+		"watches": func(_ *testing.T, g *fakeRegistry, _ *Roster) prim.Registry { return inconsistentRegistry{g} },
+		"other nodes": func(t *testing.T, g *fakeRegistry, r *Roster) prim.Registry {
+			ahead := newRegistry()
+			ahead.restore(ahead.copyRegistry())
+			readAt(t, r, ahead)
+			return g
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newRegistry()
+				g.putEntry("i-1", false)
+				r := New(Config{RepublishDelay: republishDelay, Host: "host-i-1", DataCentre: "a"})
+				registry := start(t, g, r)
+				ctx, cancel := context.WithCancel(t.Context())
+				ended := r.Follow(ctx, registry)
+				time.Sleep(time.Minute)
+				is.True(g.callCount() < 100)
+				is.True(g.callCount() > 5) // it tries again
+				cancel()
+				<-ended
+			})
+		})
+	}
+}
+
 // Guards against contents from before a restore that arrive late and replace newer ones.
 func TestEarlierEraIsRefused(t *testing.T) {
 	is := is.New(t)
--- a/roster/follow.go
+++ b/roster/follow.go
@@ -51,6 +51,10 @@
 	answeredAt time.Time     // time of the last successful registry call
 	lostAt     time.Time
 	retryDelay time.Duration
+	// requiredReads is the number of full reads that the registry has required within
+	// maxRetryDelay of each other, the last one at requiredAt.
+	requiredReads int
+	requiredAt    time.Time
 }
 
 // Follow reads the registry until the context ends, and then sends the context's error
@@ -95,16 +99,35 @@
 		return
 	}
 	rd.revision = 0
-	if errors.Is(err, prim.ErrHistoryGone) || errors.Is(err, errMassRemoval) {
+	if requiresRead(err) && rd.isFirstRequired(time.Now()) {
 		return
 	}
 	rd.backOff(ctx, err)
 }
 
+// requiresRead reports whether an error of the registry means that everything has to be
+// read again, and not that the registry can't be read.
+func requiresRead(err error) bool {
+	return errors.Is(err, prim.ErrHistoryGone) || errors.Is(err, errMassRemoval) || errors.Is(err, errEarlierEra)
+}
+
+// isFirstRequired records a full read that the registry requires. It returns false if
+// another one was required shortly before, so that the reader has to wait.
+func (rd *reader) isFirstRequired(now time.Time) bool {
+	if now.Sub(rd.requiredAt) > maxRetryDelay {
+		rd.requiredReads, rd.retryDelay = 0, 0
+	}
+	rd.requiredReads++
+	rd.requiredAt = now
+	return rd.requiredReads == 1
+}
+
 // backOff waits after a failed read, with an exponential delay. A node that is not a
 // primary reader waits longer and leaves the retries to the primary readers.
 func (rd *reader) backOff(ctx context.Context, err error) {
-	if rd.lostAt.IsZero() {
+	if requiresRead(err) {
+		rd.roster.log.Warn("registry requires full reads again and again", "Reads", rd.requiredReads, "Error", err)
+	} else if rd.lostAt.IsZero() {
 		rd.lostAt = time.Now()
 		rd.roster.log.Warn("registry lost", "Error", err)
 		rd.roster.setRegistryLost(rd.lostAt)
