--- a/roster/share.go
+++ b/roster/share.go
@@ -173,14 +173,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	revision := r.revisionOf(resp.Era, resp.Number)
-	if d := resp.RoutesDiff; d != nil && d.Base == r.routing.Version {
-		routing := d.apply(&r.routing)
-		resp.Routing = &routing
-	}
-	if resp.Routing != nil {
-		resp.Routing.Revision = r.revisionOf(resp.Era, uint64(resp.Routing.Revision))
-	}
-	newRoutes := resp.Routing != nil && r.setRouting(*resp.Routing, source)
+	inEra := func(number prim.Revision) prim.Revision { return r.revisionOf(revision.Era()+1, uint64(number)) }
+	newRoutes := r.applyRoutes(&resp, source)
+	// Entries that were equal at the request may have changed since.
 	outdated := resp.EntriesEqual && resp.Digest != nil && *resp.Digest != r.digest()
 	if revision <= r.revision || outdated || revision.Era() > r.revision.Era() && !resp.Complete {
 		if newRoutes {
@@ -190,15 +185,15 @@
 	}
 	previous := r.enterEra(time.Now(), revision)
 	for _, c := range resp.Switches {
-		c.Revision = r.revisionOf(revision.Era()+1, uint64(c.Revision))
+		c.Revision = inEra(c.Revision)
 		r.setSwitch(c, source)
 	}
 	for _, m := range resp.Removed {
-		m.Revision = r.revisionOf(revision.Era()+1, uint64(m.Revision))
+		m.Revision = inEra(m.Revision)
 		r.removeServer(m, source)
 	}
 	for _, e := range resp.Servers {
-		e.Revision = r.revisionOf(revision.Era()+1, uint64(e.Revision))
+		e.Revision = inEra(e.Revision)
 		r.setServer(e, source)
 	}
 	if resp.Complete {
@@ -218,6 +213,21 @@
 	r.rebuild(revision, source)
 }
 
+// applyRoutes applies the routes of a response, or their difference from this node's
+// version. It reports whether they are newer. The caller holds r.mu.
+func (r *Roster) applyRoutes(resp *stateResponse, source string) bool {
+	routing := resp.Routing
+	if d := resp.RoutesDiff; d != nil && d.Base == r.routing.Version {
+		next := d.apply(&r.routing)
+		routing = &next
+	}
+	if routing == nil {
+		return false
+	}
+	routing.Revision = r.revisionOf(resp.Era, uint64(routing.Revision))
+	return r.setRouting(*routing, source)
+}
+
 // revisionOf returns a revision that another node sent as a number and one more than
 // its era. A node that doesn't know eras, and sends 0, is in this node's era unless the
 // registry was restored since this node started. The revision is 0, below all others, if
