--- a/mesh/loops.go
+++ b/mesh/loops.go
@@ -222,9 +222,11 @@
 		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 		defer cancel()
 		if err := n.roster.Fetch(ctx, n.peers, h); err != nil {
+			n.recorder.Count("StateFetchesFailed", 1)
 			n.log.Warn("failed to fetch the state of another node", "Peer", h, "Error", err)
 			return
 		}
+		n.recorder.Count("StatesFetched", 1)
 		n.log.Info("state fetched from another node", "Peer", h)
 	})
 }
--- a/mesh/status.go
+++ b/mesh/status.go
@@ -38,10 +38,13 @@
 	RoutingRefused   string
 	RoutingRefusedMs int64
 	Servers          int
-	RegistryCalls    int64
-	Panics           int64 // contained since the start
-	Requests         stats.Snapshot
-	Peers            peers.Status
+	// InvalidEntries is the number of published server entries that this node has read and
+	// can't use.
+	InvalidEntries int
+	RegistryCalls  int64
+	Panics         int64 // contained since the start
+	Requests       stats.Snapshot
+	Peers          peers.Status
 }
 
 // Status returns the current state.
@@ -59,7 +62,7 @@
 		Server: n.admitter.ServerID(), Load: n.admitter.Sample(),
 		Routing: p.Routing.Version, RoutingAgeMs: routes.Milliseconds(), StateAgeMs: state.Milliseconds(),
 		RoutingRefused: refused.Cause, RoutingRefusedMs: refusedFor.Milliseconds(),
-		Servers: len(p.Servers), RegistryCalls: n.store.Calls(), Panics: n.guard.Panics(),
+		Servers: len(p.Servers), InvalidEntries: n.registry.InvalidEntries(), RegistryCalls: n.store.Calls(), Panics: n.guard.Panics(),
 		Requests: n.recorder.Snapshot(), Peers: n.peers.Status(),
 	}
 }
@@ -103,6 +106,7 @@
 	line("StateAgeMs", s.StateAgeMs)
 	line("RoutingRefusedMs", s.RoutingRefusedMs)
 	line("Servers", s.Servers)
+	line("InvalidEntries", s.InvalidEntries)
 	line("RegistryCalls", s.RegistryCalls)
 	line("Panics", s.Panics)
 	line("InFlight", s.Load.InFlight)
--- a/roster/share.go
+++ b/roster/share.go
@@ -220,6 +220,8 @@
 	if d := resp.RoutesDiff; d != nil && d.Base == r.routing.Version {
 		next := d.apply(&r.routing)
 		routing = &next
+	} else if d != nil && d.Version > r.routing.Version {
+		r.log.Info("difference of routes not applied", "Base", d.Base, "Version", d.Version, "Routes", r.routing.Version, "Source", source)
 	}
 	if routing == nil {
 		return false
