--- a/placement.go
+++ b/placement.go
@@ -1,8 +1,10 @@
 package prim
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -82,6 +84,43 @@
 	Revision Revision
 }
 
+// Bounds of a server entry. A time outside the years 0 to 9999 can't be sent to other
+// nodes.
+const maxEntrySlots = 1 << 20
+
+var (
+	minEntryBorn = time.Unix(0, 0)
+	maxEntryBorn = time.Date(9999, time.December, 31, 0, 0, 0, 0, time.UTC)
+)
+
+// EntryError reports a field of a server entry that can't be used.
+type EntryError struct{ ID, Field, Value, Remedy string }
+
+// Error names the server, the field, its value and the remedy.
+func (e *EntryError) Error() string {
+	return fmt.Sprintf("entry of server %q: field %s has the value %q; %s", e.ID, e.Field, e.Value, e.Remedy)
+}
+
+// Check returns an *EntryError if the entry can't be used or can't be sent to other
+// nodes.
+func (e *ServerEntry) Check() error {
+	switch {
+	case e.ID == "":
+		return &EntryError{e.ID, "ID", "", "give the ID of the server"}
+	case e.Service == "":
+		return &EntryError{e.ID, "Service", "", "give the service of the server"}
+	case e.Host == "":
+		return &EntryError{e.ID, "Host", "", "give the host of the server"}
+	case !e.Address.IsValid() || e.Address.Port() == 0 || e.Address.Addr().Zone() != "":
+		return &EntryError{e.ID, "Address", e.Address.String(), "give an IP address without a zone, and a port from 1 to 65535"}
+	case e.Slots < 0 || e.Slots > maxEntrySlots:
+		return &EntryError{e.ID, "Slots", strconv.Itoa(e.Slots), fmt.Sprintf("give 0 to %d", maxEntrySlots)}
+	case !e.Born.IsZero() && (e.Born.Before(minEntryBorn) || e.Born.After(maxEntryBorn)):
+		return &EntryError{e.ID, "Born", strconv.FormatInt(e.Born.UnixMilli(), 10) + " ms", "give a time from 1970 to 9999"}
+	}
+	return nil
+}
+
 // EqualIgnoringRevision reports whether two entries are equal apart from their revisions.
 func (e *ServerEntry) EqualIgnoringRevision(o *ServerEntry) bool {
 	a, b := *e, *o
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -201,6 +201,10 @@
 	if known && e.Revision <= old.Revision || r.removalRevision(e.ID) >= e.Revision {
 		return false
 	}
+	if err := e.Check(); err != nil {
+		r.log.Warn("server entry refused", "Error", err, "Revision", e.Revision, "Source", source)
+		return false
+	}
 	r.servers[e.ID] = e
 	if e.Born.After(r.newestStart) {
 		r.newestStart = e.Born
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -50,7 +51,7 @@
 
 func (g *fakeRegistry) putEntry(id string, draining bool) {
 	g.update(func() {
-		g.entries[id] = prim.ServerEntry{ID: id, Service: "s", Host: prim.HostName("host-" + id), DataCentre: "a", Draining: draining, Revision: g.revision}
+		g.entries[id] = prim.ServerEntry{ID: id, Service: "s", Address: testAddress, Host: prim.HostName("host-" + id), DataCentre: "a", Draining: draining, Revision: g.revision}
 	})
 }
 
@@ -165,6 +166,9 @@
 	}
 }
 
+// testAddress is the address in the entries of these tests.
+var testAddress = netip.MustParseAddrPort("10.1.0.9:80")
+
 // republishDelay is how long entries are retained after an outage in these tests.
 const republishDelay = 2 * time.Second
 
--- a/roster/share.go
+++ b/roster/share.go
@@ -58,10 +58,35 @@
 	Routing      *prim.Routing           `cbor:"3,keyasint"`            // nil if the requester has it
 	RoutesDiff   *routesDiff             `cbor:"9,keyasint,omitempty"`  // instead of Routing
 	Switches     []prim.DataCentreSwitch `cbor:"4,keyasint"`
-	Servers      []prim.ServerEntry      `cbor:"5,keyasint"`
+	Servers      serverEntries           `cbor:"5,keyasint"`
 	Removed      []prim.Removal          `cbor:"6,keyasint"`
 }
 
+// serverEntries is a list of entries of which those that can't be decoded are left out, so
+// that they don't keep the rest of a response from this node.
+type serverEntries []prim.ServerEntry
+
+// UnmarshalCBOR implements cbor.Unmarshaler.
+func (l *serverEntries) UnmarshalCBOR(b []byte) error {
+	var entries []prim.ServerEntry
+	if err := cbor.Unmarshal(b, &entries); err == nil {
+		*l = entries
+		return nil
+	}
+	var encoded []cbor.RawMessage
+	if err := cbor.Unmarshal(b, &encoded); err != nil {
+		return err
+	}
+	*l = nil
+	for _, item := range encoded {
+		var e prim.ServerEntry
+		if cbor.Unmarshal(item, &e) == nil {
+			*l = append(*l, e)
+		}
+	}
+	return nil
+}
+
 // Handle answers a KindState request.
 func (r *Roster) Handle(_ context.Context, _ prim.HostName, m prim.Message) (prim.Message, error) {
 	var req stateRequest
