--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -203,7 +203,7 @@
 	s := &n.config.Settings
 	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
 	router.Handle(peers.Path, n.peers.Handler())
-	callers := &http.Server{Handler: conns.Handler(n.countCalls(n.handler)), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: conns.Track, ConnContext: conns.Context}
+	callers := &http.Server{Handler: conns.Handler(n.countCalls(n.handler)), MaxHeaderBytes: prim.MaxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: conns.Track, ConnContext: conns.Context}
 	readiness := &http.Server{Handler: n.readyRoutes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	metrics := &http.Server{Handler: n.statusRoutes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	links := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -169,6 +169,25 @@
 	return -1
 }
 
+// Guards against a request whose header doesn't fit into a frame between nodes, and which
+// therefore makes the node take every other host for unreachable.
+func TestLargeHeaderIsRejected(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 2)
+	for _, c := range []struct{ bytes, status int }{{16 << 10, http.StatusOK}, {70 << 10, http.StatusRequestHeaderFieldsTooLarge}} {
+		q, err := http.NewRequest("POST", "http://"+address(1, portCallers)+"/r/x", nil)
+		is.NoErr(err)
+		q.Host = "a.example"
+		q.Header.Set("X-Attempt-Id", fmt.Sprint("q-", c.bytes))
+		q.Header.Set("Padding", strings.Repeat("a", c.bytes))
+		resp, err := http.DefaultClient.Do(q)
+		is.NoErr(err)
+		resp.Body.Close()
+		is.Equal(resp.StatusCode, c.status)
+	}
+	is.Equal(d.ranAt(fmt.Sprint("q-", 70<<10)), -1)
+}
+
 // Guards against a failure anywhere on the path of a request, on one host and between
 // hosts, and against requests sent to servers that are leaving: because of their
 // entry, a data centre switch, or a planned stop of their node.
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -134,10 +134,12 @@
 	decMode, err = cbor.DecOptions{
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
 		MaxNestedLevels:  8,
-		MaxArrayElements: 1024,
+		MaxArrayElements: MaxHeaderBytes, // each element takes at least one byte
 		MaxMapPairs:      1024,
 		IndefLength:      cbor.IndefLengthForbidden,
 		TagsMd:           cbor.TagsForbidden,
+		// HTTP header values and paths may have any bytes (RFC 9110, section 5.5).
+		UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic(err)
--- a/wire/frame_test.go
+++ b/wire/frame_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -56,6 +57,33 @@
 	}
 }
 
+// Guards against a caller or a server whose header closes the link between two nodes, with
+// all calls on it, because the frame can't be decoded.
+func TestAnyHTTPHeaderFitsIntoFrame(t *testing.T) {
+	is := is.New(t)
+	many := make(http.Header)
+	for i := range 4000 {
+		many.Add(fmt.Sprintf("A%d", i%2000), "b")
+	}
+	for _, header := range []http.Header{{"Name": {"J\xf6rg", "\xff\xfe"}}, many} {
+		h := wire.AnswerHeader(1, &prim.Answer{Status: 200, Header: header})
+		b, err := wire.Append(nil, &h, nil)
+		is.NoErr(err)
+		got, _, err := wire.Split(b)
+		is.NoErr(err)
+		answer, err := got.Result("h", nil)
+		is.NoErr(err)
+		is.Equal(answer.Header, header)
+	}
+	r := &prim.Request{Method: "GET", Path: "/\xff", Authority: "a\xf6", ID: "\xfe", Deadline: time.Now().Add(time.Second)}
+	h := wire.RequestHeader(wire.Dispatch, r, time.Now())
+	b, err := wire.Append(nil, &h, nil)
+	is.NoErr(err)
+	got, _, err := wire.Split(b)
+	is.NoErr(err)
+	is.Equal(got.Path+got.Authority+got.CallerID, r.Path+r.Authority+r.ID)
+}
+
 // Guards against a truncated, oversized or corrupt frame that is accepted as
 // another frame, or that crashes the process.
 func TestSplitRejectsMalformedFrame(t *testing.T) {
