--- a/roster/diff_test.go
+++ b/roster/diff_test.go
@@ -96,3 +96,41 @@
 	}
 	is.Equal(len(r.previousRoutings), 3)
 }
+
+// Guards against a node that claims to know all changes up to a revision although it lacks
+// the routes of one, and whose watch continues after that revision.
+func TestUnappliedDifferenceDoesNotRaiseRevision(t *testing.T) {
+	is := is.New(t)
+	g := newRegistry()
+	publish := func(version uint64) {
+		g.update(func() {
+			routes := make([]prim.PathRoute, 20)
+			for i := range routes {
+				routes[i] = prim.PathRoute{Name: "r", Authority: "a.example", Prefix: fmt.Sprintf("/%d/", i), Targets: []prim.Target{{Service: "s", Weight: 1}}}
+			}
+			routes[0].Priority = int(version)
+			g.routing = prim.Routing{Version: version, Routes: routes, Revision: g.revision}
+		})
+	}
+	read := func(r *Roster) {
+		s, at, _ := g.Read(t.Context())
+		is.NoErr(r.applySnapshot(epoch, s, at))
+	}
+	newRoster := func() *Roster { return New(Config{RepublishDelay: republishDelay, DataCentre: "a"}) }
+	r, between, ahead := newRoster(), newRoster(), newRoster()
+	publish(2)
+	read(r)
+	read(ahead)
+	publish(3)
+	read(between)
+	publish(4)
+	is.NoErr(ahead.applyChanges(epoch, g.changesSince(ahead.Revision()), g.revision))
+	resp := ahead.changesSince(r.request())
+	is.True(resp.RoutesDiff != nil)
+	r.applyResponse(between.changesSince(r.request()), "test")
+	is.Equal(r.Placement().Routing.Version, uint64(3))
+	r.applyResponse(resp, "test")
+	is.True(r.Revision() < ahead.Revision())
+	is.NoErr(r.applyChanges(epoch, g.changesSince(r.Revision()), g.revision))
+	is.Equal(r.Placement().Routing.Version, uint64(4))
+}
--- a/roster/share.go
+++ b/roster/share.go
@@ -199,9 +199,9 @@
 	defer r.mu.Unlock()
 	revision := r.revisionOf(resp.Era, resp.Number)
 	inEra := func(number prim.Revision) prim.Revision { return r.revisionOf(revision.Era()+1, uint64(number)) }
-	newRoutes := r.applyRoutes(&resp, source)
+	newRoutes, missingRoutes := r.applyRoutes(&resp, source)
 	// Entries that were equal at the request may have changed since.
-	outdated := resp.EntriesEqual && resp.Digest != nil && *resp.Digest != r.digest()
+	outdated := missingRoutes || resp.EntriesEqual && resp.Digest != nil && *resp.Digest != r.digest()
 	if revision <= r.revision || outdated || revision.Era() > r.revision.Era() && !resp.Complete {
 		if newRoutes {
 			r.rebuild(r.revision, source)
@@ -239,20 +239,23 @@
 }
 
 // applyRoutes applies the routes of a response, or their difference from this node's
-// version. It reports whether they are newer. The caller holds r.mu.
-func (r *Roster) applyRoutes(resp *stateResponse, source string) bool {
+// version. It reports whether the routes changed, and whether the response has newer ones
+// that can't be applied, since the version has changed after the request. The caller holds
+// r.mu.
+func (r *Roster) applyRoutes(resp *stateResponse, source string) (changed, missing bool) {
 	routing := resp.Routing
 	if d := resp.RoutesDiff; d != nil && d.Base == r.routing.Version {
 		next := d.apply(&r.routing)
 		routing = &next
 	} else if d != nil && d.Version > r.routing.Version {
 		r.log.Info("difference of routes not applied", "Base", d.Base, "Version", d.Version, "Routes", r.routing.Version, "Source", source)
+		missing = true
 	}
 	if routing == nil {
-		return false
+		return false, missing
 	}
 	routing.Revision = r.revisionOf(resp.Era, uint64(routing.Revision))
-	return r.setRouting(*routing, source)
+	return r.setRouting(*routing, source), missing
 }
 
 // revisionOf returns a revision that another node sent as a number and one more than
