--- a/placement.go
+++ b/placement.go
@@ -184,15 +184,19 @@
 		}
 	}
 	for i := range servers {
-		if old := p.byHost[servers[i].Host]; old == nil || supersedes(&servers[i], old) {
-			p.byHost[servers[i].Host] = &servers[i]
+		e := &servers[i]
+		p.byID[e.ID] = e
+		if len(routing.Services) > 0 && p.rules[e.Service] == nil {
+			continue // an entry of a service that isn't configured names no server
+		}
+		if old := p.byHost[e.Host]; old == nil || supersedes(e, old) {
+			p.byHost[e.Host] = e
 		}
 	}
 	for i := range servers {
 		e := &servers[i]
-		p.byID[e.ID] = e
 		if p.byHost[e.Host] != e {
-			continue // another entry of the host supersedes this one
+			continue // another entry of the host supersedes this one, or it names no server
 		}
 		p.byDataCentre[e.DataCentre] = append(p.byDataCentre[e.DataCentre], e)
 		if !e.Draining && !p.outDataCentres[e.DataCentre] {
--- /dev/null
+++ b/placement_test.go
@@ -0,0 +1,30 @@
+package prim_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	prim "github.com/primrosethread/primrosethread"
+)
+
+// Guards against an entry of another writer, with a service that isn't configured, that
+// takes the place of a server on the same host.
+func TestEntryOfUnknownServiceNamesNoServer(t *testing.T) {
+	is := is.New(t)
+	address := netip.MustParseAddrPort("10.1.0.9:80")
+	server := prim.ServerEntry{ID: "i-1", Service: "orders", Host: "10.1.0.9", Address: address, DataCentre: "a", Born: time.UnixMilli(1790000000000)}
+	odd := server
+	odd.ID, odd.Service, odd.Born = "odd", "elsewhere", time.UnixMilli(1890000000000)
+	routing := prim.Routing{Version: 1, Services: []prim.ServiceRule{{Name: "orders"}}}
+	p := prim.NewPlacement(routing, nil, []prim.ServerEntry{server, odd})
+	is.Equal(p.Host("10.1.0.9").ID, "i-1")
+	is.Equal(len(p.InService("orders")), 1)
+	is.Equal(len(p.InService("elsewhere")), 0)
+	is.Equal(len(p.ServersIn("a")), 1)
+	// Entries may be published before the configuration.
+	p = prim.NewPlacement(prim.Routing{}, nil, []prim.ServerEntry{server})
+	is.Equal(p.Host("10.1.0.9").ID, "i-1")
+}
