--- a/roster/follow.go
+++ b/roster/follow.go
@@ -308,9 +308,13 @@
 	r.reading = on
 }
 
+// confirm records that an answer of the registry showed the state to be current at a time.
 func (r *Roster) confirm(at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if at.After(r.registryCurrentAt) {
+		r.registryCurrentAt = at
+	}
 	r.confirmLocked(at)
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -51,6 +51,7 @@
 	revision          prim.Revision
 	routingReceivedAt time.Time
 	confirmedAt       time.Time      // when the state was last known to be current
+	registryCurrentAt time.Time      // the same, by an answer of the registry to this node
 	retainUntil       time.Time      // missing entries are retained until then
 	recentRemovals    []removedEntry // within massRemovalWindow
 	reading           bool           // this node follows the registry
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -238,6 +238,56 @@
 	}
 }
 
+// Guards against a change that is noticed late because the ages of the state that nodes
+// tell each other don't include the time that samples are on their way.
+func TestSlowSamplesDontHideSilentWatches(t *testing.T) {
+	const transit, interval, bound = 100 * time.Millisecond, 50 * time.Millisecond, 500 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRegistry()
+		ctx, cancel := context.WithCancel(t.Context())
+		var rosters []*Roster
+		var running sync.WaitGroup
+		for i := range 6 {
+			g.putEntry(fmt.Sprint("i-", i), false)
+			rosters = append(rosters, New(Config{RepublishDelay: republishDelay, Host: prim.HostName(fmt.Sprint("host-i-", i)), DataCentre: "a"}))
+		}
+		for i, from := range rosters {
+			ended := from.Follow(ctx, g)
+			running.Go(func() { <-ended })
+			running.Go(func() {
+				time.Sleep(time.Duration(i) * interval / 6) // nodes send at different times
+				for ; ctx.Err() == nil; time.Sleep(interval) {
+					s := from.Annotate(time.Now(), prim.LoadSample{})
+					time.AfterFunc(transit, func() {
+						for _, to := range rosters {
+							if to != from && to.ObserveSample(time.Now(), from.config.Host, s) {
+								_ = to.Fetch(ctx, messages{to: from}, from.config.Host)
+							}
+						}
+					})
+				}
+			})
+		}
+		defer func() {
+			cancel()
+			running.Wait()
+			time.Sleep(2 * transit)
+		}()
+		time.Sleep(5 * time.Second)
+		g.mu.Lock()
+		g.watchesSilent = true
+		g.mu.Unlock()
+		for version := uint64(2); version < 8; version++ {
+			g.publishRoutes(version)
+			time.Sleep(minPollAge + pollAgeJitter + 2*transit + bound)
+			for _, r := range rosters {
+				is.Equal(r.Placement().Routing.Version, version)
+			}
+		}
+	})
+}
+
 // Guards against a busy loop and lost state while the registry is down, and against
 // dropping servers whose entries expired during the outage.
 func TestOutageKeepsState(t *testing.T) {
--- a/roster/share.go
+++ b/roster/share.go
@@ -280,13 +280,15 @@
 // numberOnly returns a revision without its era, for nodes that don't know eras.
 func numberOnly(rev prim.Revision) prim.Revision { return prim.Revision(rev.Number()) }
 
-// Annotate adds the revision and age of this node's state to a sample.
+// Annotate adds the revision and age of this node's state to a sample. The age is that of
+// the last answer of the registry to this node: an age doesn't include the time that a
+// sample was on its way, so ages that nodes pass on would fall short by all of these times.
 func (r *Roster) Annotate(now time.Time, s prim.LoadSample) prim.LoadSample {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	s.Number, s.Era, s.Routes, s.Reading = r.revision.Number(), r.revision.Era()+1, r.routing.Version, r.reading
-	if !r.confirmedAt.IsZero() {
-		s.Age = max(1, now.Sub(r.confirmedAt))
+	if !r.registryCurrentAt.IsZero() {
+		s.Age = max(1, now.Sub(r.registryCurrentAt))
 	}
 	return s
 }
