--- a/cmd/soak/check.go
+++ b/cmd/soak/check.go
@@ -25,6 +25,10 @@
 	// these times.
 	drainBound    = 2 * time.Second
 	evacuateBound = 5 * time.Second
+	// limitGrace is the time from when a server names a limit until it has to be kept, and
+	// limitSlack the number of requests by which it may be exceeded.
+	limitGrace = time.Second
+	limitSlack = 5
 	// After a route change, the old route stays allowed for requests sent within this time.
 	routesBound = 2 * time.Second
 	// warmUpSlackRequests is by how much the requests in the second after a restart may
@@ -240,6 +244,20 @@
 	}
 }
 
+// checkLimit checks that a server got at most one and a half times the requests that a limit
+// named by it allows, and limitSlack, between two times.
+func (d *deployment) checkLimit(h *host, rate float64, from, until time.Time) {
+	n := 0
+	for _, r := range h.app.Runs() {
+		if r.At.After(from) && r.At.Before(until) {
+			n++
+		}
+	}
+	if allowed := 1.5*rate*until.Sub(from).Seconds() + limitSlack; float64(n) > allowed {
+		d.fail("host %s ran %d requests from %s to %s; its limit allows %.1f", h.name, n, from.Format("05.000"), until.Format("05.000"), allowed)
+	}
+}
+
 // routeAllows reports whether a request for the path /safe/ may run at a service at a
 // time: a route to the service was published before then, and if it was replaced, then
 // at most routesBound before the request was sent.
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -169,6 +170,15 @@
 		h.app.Restart()
 		d.publishServer(h, "ready")
 	}},
+	{"server names a limit", func(ctx context.Context, d *deployment, h *host, r *rand.Rand) {
+		rate := 2 + 20*r.Float64()
+		h.app.SetHeader("Server-Limit", strconv.FormatFloat(rate, 'f', 1, 64))
+		waits.Sleep(ctx, limitGrace)
+		from := time.Now()
+		sleepFaultDuration(ctx, r)
+		d.checkLimit(h, rate, from, time.Now())
+		h.app.SetHeader("Server-Limit")
+	}},
 	{"slow server", func(ctx context.Context, d *deployment, h *host, r *rand.Rand) {
 		h.app.SetSlow(2 + 8*r.Float64())
 		sleepFaultDuration(ctx, r)
--- a/fakes/app.go
+++ b/fakes/app.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -31,6 +32,7 @@
 	running     int
 	slowdown    float64 // factor applied to ServiceTime when a request starts
 	failing     bool
+	header      http.Header // of all answers
 	runs        []Run
 }
 
@@ -77,6 +79,17 @@
 	a.failing = failing
 }
 
+// SetHeader sets a header of all answers, or removes it if there are no values.
+func (a *App) SetHeader(name string, values ...string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.header = a.header.Clone()
+	if a.header == nil {
+		a.header = make(http.Header)
+	}
+	a.header[name] = values
+}
+
 // SetDraining makes the health check answer 503, or 200 again.
 func (a *App) SetDraining(draining bool) {
 	a.mu.Lock()
@@ -94,6 +107,9 @@
 // ServeHTTP implements http.Handler.
 func (a *App) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
+	a.mu.Lock()
+	maps.Copy(h, a.header)
+	a.mu.Unlock()
 	if r.URL.Path == "/healthz" {
 		a.health(w)
 		return
--- a/mesh/loops.go
+++ b/mesh/loops.go
@@ -156,7 +156,9 @@
 // changesSelection reports whether the difference of two samples affects the selection
 // of a server or the exchange of published state.
 func changesSelection(a, b prim.LoadSample) bool {
-	isFull := func(s prim.LoadSample) bool { return s.InFlight >= s.Limit || s.Cold && s.ColdRoom == 0 }
+	isFull := func(s prim.LoadSample) bool {
+		return s.InFlight >= s.Limit || s.Cold && s.ColdRoom == 0 || s.Limited && s.RateRoom == 0
+	}
 	hasSpike := func(s prim.LoadSample) bool { return s.Slowdown >= spikeFactor*s.Steady }
 	return isFull(a) != isFull(b) || hasSpike(a) != hasSpike(b) || a.Leaving != b.Leaving || a.Cold != b.Cold ||
 		a.Failing != b.Failing || a.Number != b.Number || a.Era != b.Era || a.Routes != b.Routes || a.Reading != b.Reading
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -118,7 +118,10 @@
 	})
 	n.client = server.New(server.Config{Host: s.Host, Address: s.Server, OmitNodeHeaders: true,
 		Match: platform.MatchAnswer, IdleTimeout: serverIdle})
-	n.server = platform.NewServer(s.Host, n.client, n.admitter.ServerID, n.admitter.ApplyReport)
+	n.server = platform.NewServer(platform.ServerConfig{
+		Host: s.Host, Client: n.client, ServerID: n.admitter.ServerID, OnReport: n.admitter.ApplyReport,
+		Logger: n.log,
+	})
 	n.peers.SetLocal(owner.New(owner.Config{Host: s.Host, Server: checkOnFailure{n}, Admitter: n.admitter}))
 	n.peers.Handle(roster.KindState, n.roster.Handle)
 	n.relay = relay.New(relay.Config{
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"testing"
@@ -309,3 +310,36 @@
 	is.Equal(runs, 2)
 	is.Equal(n.guard.Panics(), int64(1))
 }
+
+// Guards against a limit named by a server that its node doesn't enforce for the requests
+// of all nodes, or that operators can't see.
+func TestServerNamesLimit(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 3)
+	const rate = 4.0
+	d.apps[0].SetHeader("Server-Limit", fmt.Sprint(rate))
+	d.waitFor(func() bool { return d.nodes[0].Status().ServerLimit != nil })
+	l := d.nodes[0].Status().ServerLimit
+	is.Equal(l.Server, "i-0")
+	is.Equal(l.RequestsPerSecond, rate)
+	w := httptest.NewRecorder()
+	d.nodes[0].metrics(w, nil)
+	is.True(strings.Contains(w.Body.String(), `PrimrosethreadServerLimit{Server="i-0"} 4`))
+	begin := time.Now()
+	for i := range 300 {
+		status, _ := d.send(i%3, fmt.Sprint("q-", i))
+		is.Equal(status, 200) // what doesn't fit goes to the other servers
+	}
+	elapsed := time.Since(begin).Seconds()
+	is.True(float64(len(d.apps[0].Runs())) <= rate*elapsed+max(1, rate/2))
+	d.apps[0].SetHeader("Server-Limit", "0")
+	d.waitFor(func() bool { l := d.nodes[0].Status().ServerLimit; return l != nil && l.RequestsPerSecond == 0 })
+	runs := len(d.apps[0].Runs())
+	for i := range 30 {
+		status, _ := d.send(i%3, fmt.Sprint("r-", i))
+		is.Equal(status, 200)
+	}
+	is.Equal(len(d.apps[0].Runs()), runs)
+	d.apps[0].SetHeader("Server-Limit")
+	d.waitFor(func() bool { return d.nodes[0].Status().ServerLimit == nil })
+}
--- a/mesh/status.go
+++ b/mesh/status.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -28,6 +29,8 @@
 	// is down.
 	Server string
 	Load   prim.LoadSample
+	// ServerLimit is the limit that the server names, nil if it names none.
+	ServerLimit *ServerLimit
 	// Routing is the version of the routes, RoutingAgeMs the time since they were
 	// received, and StateAgeMs the time since the published state was last known to be
 	// current.
@@ -47,6 +50,21 @@
 	Peers          peers.Status
 }
 
+// ServerLimit is a limit that a server names in its answers.
+type ServerLimit struct {
+	Server            string
+	RequestsPerSecond float64 // from all nodes together; 0 if the server takes none
+	ForMs             int64   // time since the server first named it
+}
+
+func (n *Node) serverLimit() *ServerLimit {
+	l, ok := n.admitter.RateLimit()
+	if !ok {
+		return nil
+	}
+	return &ServerLimit{l.Server, l.Rate, time.Since(l.Since).Milliseconds()}
+}
+
 // Status returns the current state.
 func (n *Node) Status() Status {
 	p := n.roster.Placement()
@@ -59,7 +77,7 @@
 	return Status{
 		Host: n.settings().Host, DataCentre: n.settings().DataCentre, Service: n.settings().Service,
 		Instance: n.instance, Version: n.config.Version, Stopping: n.stopping.Load(),
-		Server: n.admitter.ServerID(), Load: n.admitter.Sample(),
+		Server: n.admitter.ServerID(), Load: n.admitter.Sample(), ServerLimit: n.serverLimit(),
 		Routing: p.Routing.Version, RoutingAgeMs: routes.Milliseconds(), StateAgeMs: state.Milliseconds(),
 		RoutingRefused: refused.Cause, RoutingRefusedMs: refusedFor.Milliseconds(),
 		Servers: len(p.Servers), InvalidEntries: n.registry.InvalidEntries(), RegistryCalls: n.store.Calls(), Panics: n.guard.Panics(),
@@ -113,6 +131,11 @@
 	line("Queued", s.Load.Queued)
 	line("Limit", s.Load.Limit)
 	line("Slowdown", s.Load.Slowdown)
+	if l := s.ServerLimit; l != nil {
+		label := "{Server=" + strconv.Quote(l.Server) + "}"
+		line("ServerLimit"+label, l.RequestsPerSecond)
+		line("ServerLimitForMs"+label, l.ForMs)
+	}
 	line("LinksDialled", s.Peers.Dialled)
 	line("LinksAccepted", s.Peers.Accepted)
 	line("LinkBytesIn", s.Peers.BytesIn)
--- a/relay/call.go
+++ b/relay/call.go
@@ -47,6 +47,9 @@
 	timedOutWaits   int             // refusals as busy after waiting in an owner's queue
 	attempted       []prim.HostName // hosts whose servers were sent the request
 	lastRefusal     *prim.RefusalError
+	// pacedUntil holds when the owners of servers that name a limit, and that have refused
+	// the request as busy, expect to have room for it.
+	pacedUntil map[prim.HostName]time.Time
 	// refusedByFar lists the hosts in other data centres that refused the request.
 	refusedByFar  []prim.HostName
 	serverFailure *prim.Answer // 5xx answer to return if no later attempt succeeds
@@ -130,11 +133,17 @@
 	if cand.busy && c.dispatches > 1 && !c.request.Deadline.After(now.Add(c.expectedServiceTime())) {
 		return cand, nil, c.finalRefusal(prim.ReasonBusy)
 	}
+	if cand.pacedFor > 0 && !c.request.Deadline.After(now.Add(cand.pacedFor+c.expectedServiceTime())) {
+		return cand, nil, c.finalRefusal(prim.ReasonBusy)
+	}
 	q := *c.request
 	q.PreviouslyRefused = c.dispatches > 1
 	if cand.busy || c.dispatches > noWaitDispatches || cand.far && slices.Contains(c.refusedByFar, cand.host.name) {
 		q.MaxQueueTime = c.maxQueueTime(now, cand)
 	}
+	if cand.pacedFor > 0 {
+		q.MaxQueueTime = max(0, c.request.Deadline.Sub(now)-c.expectedServiceTime())
+	}
 	return cand, &q, nil
 }
 
@@ -166,6 +175,12 @@
 	case prim.ReasonExpired:
 		c.expiredRefusals++
 	case prim.ReasonBusy:
+		if refusal.Sample.Limited {
+			if c.pacedUntil == nil {
+				c.pacedUntil = make(map[prim.HostName]time.Time)
+			}
+			c.pacedUntil[cand.host.name] = time.Now().Add(refusal.RetryAfter)
+		}
 		if q.MaxQueueTime > 0 {
 			c.timedOutWaits++
 		}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -77,6 +77,7 @@
 	host     *host         // nil if there is none
 	estimate time.Duration // expected time until the answer, with penalties and jitter
 	busy     bool          // the request would have to wait
+	pacedFor time.Duration // until the server's limit allows the request, as its owner has said
 	far      bool          // the host is in another data centre
 }
 
@@ -94,6 +95,11 @@
 		if !ok {
 			continue
 		}
+		pacedFor := max(0, c.pacedUntil[e.Host].Sub(now))
+		if pacedFor > 0 {
+			seconds += pacedFor.Seconds()
+			busy = true
+		}
 		margin := nearMargin
 		if e.DataCentre != c.relay.config.DataCentre {
 			margin = farMargin
@@ -105,7 +111,7 @@
 		seconds *= 1 + jitter*rand.Float64()
 		if best.host == nil || answerTier < bestTier || answerTier == bestTier && seconds < bestSeconds {
 			bestTier, bestSeconds = answerTier, seconds
-			best = candidate{h, time.Duration(seconds * float64(time.Second)), busy, e.DataCentre != c.relay.config.DataCentre}
+			best = candidate{h, time.Duration(seconds * float64(time.Second)), busy, pacedFor, e.DataCentre != c.relay.config.DataCentre}
 		}
 	}
 	return best
@@ -142,6 +148,7 @@
 	}
 	expected := c.expectedServiceTime()
 	limit := max(1, float64(e.Slots))
+	paceWait := 0.0 // seconds until the limit that the server names allows the request
 	load := pending
 	slowdown, baseline := defaultSlowdown, 1.0
 	slowdownMaxAge := slowdownTTL
@@ -158,6 +165,12 @@
 			baseline = s.Steady
 		}
 		busy = s.Cold && s.ColdRoom == 0 && age < slowdownMaxAge
+		if s.Limited && s.Rate <= 0 {
+			return 0, false, false
+		}
+		if s.Limited && s.RateRoom == 0 {
+			busy, paceWait = true, float64(1+s.Queued)/s.Rate
+		}
 	}
 	busy = busy || load >= limit || slowdown >= spikeFactor*baseline
 	// The owner delays a request until the end of a spike if that is faster.
@@ -165,6 +178,7 @@
 	serviceTime := expected.Seconds() * slowdown * math.Exp(decay(h.logSlowness, now.Sub(h.logSlownessAt)))
 	seconds = serviceTime * (1 + loadWeight*load/limit + max(0, load+1-limit)/limit)
 	seconds += failurePenalty * expected.Seconds() * (decay(h.failureRate, now.Sub(h.failureRateAt)) + s.Failing)
+	seconds += paceWait
 	if busy && s.Cold {
 		seconds += expected.Seconds()
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -196,6 +196,70 @@
 	is.Equal(f.dispatchesTo("far-1"), 0)
 }
 
+// Guards against requests that are sent to a server whose limit is used up, or that takes
+// none, while another one can answer.
+func TestLimitedServersAreAvoided(t *testing.T) {
+	for _, rate := range []float64{0, 3} {
+		is := is.New(t)
+		f, r := newFleet()
+		r.Observe("near-1", prim.LoadSample{Limit: 8, Slowdown: 1, Limited: true, Rate: rate})
+		r.Observe("near-2", prim.LoadSample{Limit: 8, Slowdown: 1})
+		for range 20 {
+			_, err := r.Do(t.Context(), newRequest(true))
+			is.NoErr(err)
+		}
+		is.Equal(f.dispatchesTo("near-1"), 0)
+		// The only server left: it is asked, since its sample may be old, unless it takes none.
+		f.placement = prim.NewPlacement(prim.Routing{Version: 1}, nil, f.placement.Servers[:1])
+		_, err := r.Do(t.Context(), newRequest(true))
+		is.Equal(err == nil, rate > 0)
+		is.Equal(f.dispatchesTo("near-1") > 0, rate > 0)
+	}
+}
+
+// Guards against a request that is offered again and again to servers whose limits are used
+// up, instead of waiting at the one that has room first, or being refused at once if that
+// is too late.
+func TestLimitedServersAreNotAskedAgainAndAgain(t *testing.T) {
+	for _, timeout := range []time.Duration{250 * time.Millisecond, 2 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f, r := newFleet()
+			var queueTimes []time.Duration
+			for _, o := range f.owners {
+				roomAt := time.Now().Add(400 * time.Millisecond)
+				if o.host == "near-2" {
+					roomAt = time.Now().Add(300 * time.Millisecond)
+				}
+				o.run = func(ctx context.Context, q *prim.Request) (*prim.Answer, error) {
+					queueTimes = append(queueTimes, q.MaxQueueTime)
+					if wait := time.Until(roomAt); q.MaxQueueTime < wait {
+						return nil, &prim.RefusalError{Reason: prim.ReasonBusy, Host: o.host, RetryAfter: wait,
+							Sample: prim.LoadSample{Host: o.host, Limit: 8, Slowdown: 1, Limited: true, Rate: 2, RateRoom: 1}}
+					}
+					time.Sleep(time.Until(roomAt))
+					return newAnswer(o.host, 200), nil
+				}
+			}
+			q := newRequest(true)
+			begin := time.Now()
+			q.Objective, q.Deadline = begin.Add(timeout/2), begin.Add(timeout)
+			_, err := r.Do(t.Context(), q)
+			is.True(len(f.dispatches) <= 4)
+			if timeout < 300*time.Millisecond {
+				var refusal *prim.RefusalError
+				is.True(errors.As(err, &refusal))
+				is.True(refusal.RetryAfter >= 300*time.Millisecond)
+				is.Equal(time.Since(begin), time.Duration(0))
+				return
+			}
+			is.NoErr(err)
+			is.Equal(f.dispatches[len(f.dispatches)-1], prim.HostName("near-2"))
+			is.True(time.Since(begin) < 320*time.Millisecond)
+		})
+	}
+}
+
 // Guards against an unspecific error if every server refuses: the caller must get a
 // refusal with outcome NotRun and a time to retry after.
 func TestFinalRefusalHasRetryAfter(t *testing.T) {
--- a/request.go
+++ b/request.go
@@ -139,6 +139,12 @@
 	Routes uint64 `cbor:"16,keyasint,omitempty"`
 	// Reading is set while that node reads the registry itself.
 	Reading bool `cbor:"15,keyasint,omitempty"`
+	// Limited is set while the server names a limit. Rate is the limit in requests a
+	// second, 0 if the server takes none, and RateRoom the number of requests that may
+	// start at once.
+	Limited  bool    `cbor:"18,keyasint,omitempty"`
+	Rate     float64 `cbor:"19,keyasint,omitempty"`
+	RateRoom int     `cbor:"20,keyasint,omitempty"`
 }
 
 // Attempt is the result of one attempt, as observed by its sender.
--- a/slots/reserve.go
+++ b/slots/reserve.go
@@ -53,15 +53,30 @@
 	d.count++
 }
 
-// reservedHeadroom returns how much of coldHeadroom is reserved for requests that are
-// more urgent than the given priority.
-func (s *scheduler) reservedHeadroom(now time.Time, priority int) int {
-	reserved := 0.0
+// reservedTokens returns how many tokens of a server that names a limit are reserved for
+// requests that are more urgent than the given priority.
+func (s *scheduler) reservedTokens(now time.Time, priority int) float64 {
+	if !s.pace.limited {
+		return 0
+	}
+	return max(0, min(s.urgentRate(now, priority)*paceBurst.Seconds(), maxReservedShare*(s.pace.capacity()-1)))
+}
+
+// urgentRate returns the arrival rate of requests that are more urgent than the given
+// priority, in requests per second.
+func (s *scheduler) urgentRate(now time.Time, priority int) (rate float64) {
 	for p, d := range s.demands {
 		if p < priority {
-			reserved += d.rate(now) * coldWindow.Seconds()
+			rate += d.rate(now)
 		}
 	}
+	return rate
+}
+
+// reservedHeadroom returns how much of coldHeadroom is reserved for requests that are
+// more urgent than the given priority.
+func (s *scheduler) reservedHeadroom(now time.Time, priority int) int {
+	reserved := s.urgentRate(now, priority) * coldWindow.Seconds()
 	for _, started := range s.starts {
 		if started.priority < priority {
 			reserved--
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -61,6 +61,7 @@
 	meanSpike       time.Duration // mean duration of a slowdown spike
 	saturation      saturation
 	coldUntil       time.Time
+	pace            pace
 	running         int
 	starts          []startRecord                // within coldWindow, oldest first
 	demands         map[int]*demand              // by priority
@@ -133,10 +134,10 @@
 	return max(0, time.Duration(s.baselineSlowdown(now)*float64(d)))
 }
 
-// hasCapacity reports whether the concurrency limit and the rate limit of a cold server
-// allow a request to start now.
+// hasCapacity reports whether the concurrency limit, the limit that the server names and
+// the rate limit of a cold server allow a request to start now.
 func (s *scheduler) hasCapacity(now time.Time, j *job) bool {
-	if s.running >= s.limit(now) {
+	if s.running >= s.limit(now) || s.pace.room(now) < 1+s.reservedTokens(now, j.request.Priority) {
 		return false
 	}
 	return !s.cold(now) || s.rule.WarmUpRate <= 0 || s.coldHeadroom(now) > s.reservedHeadroom(now, j.request.Priority)
@@ -160,7 +161,7 @@
 		s.refuse(now, j, prim.ReasonExpired, 0)
 	case s.hasCapacity(now, j) && s.queuedAhead(now, j) == 0 && !s.shouldDelay(now, j):
 		s.start(now, j)
-	case r.MaxQueueTime <= 0, len(s.queue) >= maxQueuedPerSlot*s.limit(now):
+	case r.MaxQueueTime <= 0, len(s.queue) >= maxQueuedPerSlot*s.limit(now), s.paceWait(now, j) > r.MaxQueueTime:
 		s.refuse(now, j, prim.ReasonBusy, s.estimatedWait(now, j))
 	default:
 		s.queue = append(s.queue, j)
@@ -221,7 +222,18 @@
 	if s.cold(now) && s.coldHeadroom(now) <= ahead && len(s.starts) > 0 {
 		d = max(d, coldWindow-now.Sub(s.starts[min(ahead, len(s.starts)-1)].at))
 	}
-	return max(d, minRetryAfter)
+	return max(d, s.paceWait(now, j), minRetryAfter)
+}
+
+// paceWait returns the time until the limit that the server names allows a new job to start,
+// after those that precede it and besides more urgent ones that arrive meanwhile.
+func (s *scheduler) paceWait(now time.Time, j *job) time.Duration {
+	if !s.pace.limited {
+		return 0
+	}
+	priority := j.request.Priority
+	tokens := 1 + float64(s.queuedAhead(now, j)) + s.reservedTokens(now, priority)
+	return s.pace.wait(now, tokens, s.urgentRate(now, priority))
 }
 
 // advance admits or refuses queued jobs where possible. It returns the time after which
@@ -254,6 +266,9 @@
 			if s.running < s.limit(now) && len(s.starts) > 0 {
 				wakeAfter(coldWindow - now.Sub(s.starts[0].at))
 			}
+			if d := s.pace.wait(now, 1+s.reservedTokens(now, r.Priority), 0); d > 0 {
+				wakeAfter(d)
+			}
 			kept = append(kept, j)
 		case s.shouldDelay(now, j):
 			wakeAfter(delayStep)
@@ -274,6 +289,7 @@
 	j.highOccupancy = float64(s.running) > highOccupancyShare*float64(s.slotCount())
 	s.expireStarts(now)
 	s.starts = append(s.starts, startRecord{now, j.request.Priority})
+	s.pace.take(now)
 	s.markDecided(j)
 }
 
@@ -354,7 +370,9 @@
 	if r.ID != "" && r.ID != s.serverID {
 		s.config.Logger.Info("server started", "Server", r.ID, "Before", s.serverID, "ColdFor", r.ColdFor)
 		s.serverID = r.ID
+		s.pace = pace{}
 	}
+	s.applyRateLimit(now, r.RateLimit)
 	if r.Slots > 0 {
 		s.slots = r.Slots
 	}
@@ -376,11 +394,25 @@
 	}
 }
 
+// applyRateLimit applies the limit that an answer of the server names, nil for none.
+func (s *scheduler) applyRateLimit(now time.Time, rate *float64) {
+	since := s.pace.since
+	if !s.pace.set(now, rate) {
+		return
+	}
+	if rate == nil {
+		s.config.Logger.Info("server names no limit any more", "Server", s.serverID, "After", now.Sub(since))
+		return
+	}
+	s.config.Logger.Info("server names a limit", "Server", s.serverID, "RequestsPerSecond", *rate, "Since", s.pace.since)
+}
+
 func (s *scheduler) markDown(now time.Time, cause error) {
 	if s.serverID != "" {
 		s.config.Logger.Warn("server is down", "Server", s.serverID, "Cause", cause)
 	}
 	s.serverID, s.healthy = "", false
+	s.pace = pace{}
 	// Assume that a restarted server is cold until it reports otherwise.
 	s.assumeCold(now, "the server was down")
 }
@@ -411,6 +443,9 @@
 	if sample.Cold {
 		sample.ColdRoom = s.coldHeadroom(now)
 	}
+	if s.pace.limited {
+		sample.Limited, sample.Rate, sample.RateRoom = true, s.pace.rate, int(s.pace.room(now))
+	}
 	if !s.healthy {
 		sample.Failing = 1
 	}
--- a/slots/slots.go
+++ b/slots/slots.go
@@ -3,8 +3,8 @@
 // warm-up time; package admit is for servers without reliable load reports.
 //
 // All requests for the server pass through the node on its host, so the count of
-// running requests is exact. Two limits rely on that: the concurrency limit and
-// the request rate of a cold server.
+// running requests is exact. Three limits rely on that: the concurrency limit, the
+// request rate of a cold server, and the request rate that a server in need names.
 package slots
 
 import (
@@ -34,6 +34,16 @@
 	Check bool
 	// Healthy is the result of the health check.
 	Healthy bool
+	// RateLimit is the number of requests a second that the server takes from all nodes
+	// together; nil if the answer names none, which ends an earlier limit.
+	RateLimit *float64
+}
+
+// RateLimit is a limit that a server has named.
+type RateLimit struct {
+	Server string  // ID of the server process
+	Rate   float64 // requests a second
+	Since  time.Time
 }
 
 // Config configures an Admitter.
@@ -149,6 +159,14 @@
 	return a.scheduler.serverID
 }
 
+// RateLimit returns the limit that the server names; ok is false if it names none.
+func (a *Admitter) RateLimit() (l RateLimit, ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s := &a.scheduler
+	return RateLimit{s.serverID, s.pace.rate, s.pace.since}, s.pace.limited
+}
+
 // Sample returns the current load.
 func (a *Admitter) Sample() prim.LoadSample {
 	a.mu.Lock()
