--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -179,6 +179,13 @@
 		d.checkLimit(h, rate, from, time.Now())
 		h.app.SetHeader("Server-Limit")
 	}},
+	{"server says that it leaves", func(ctx context.Context, d *deployment, h *host, r *rand.Rand) {
+		at := time.Now()
+		h.app.SetHeader("Server-Leaving", "1")
+		waits.Sleep(ctx, drainBound+time.Second)
+		d.checkNoRequests(h, "leaving by its answers", at, drainBound)
+		h.app.SetHeader("Server-Leaving")
+	}},
 	{"slow server", func(ctx context.Context, d *deployment, h *host, r *rand.Rand) {
 		h.app.SetSlow(2 + 8*r.Float64())
 		sleepFaultDuration(ctx, r)
--- a/mesh/leave.go
+++ b/mesh/leave.go
@@ -17,6 +17,7 @@
 	leaveEntry  leaveReason = 1 << iota // the server's entry drains or was removed
 	leaveSwitch                         // the data centre is out of service
 	leaveStop                           // this process is stopping
+	leaveServer                         // the server says in its answers that it is leaving
 )
 
 type leaveState struct {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -120,7 +120,7 @@
 		Match: platform.MatchAnswer, IdleTimeout: serverIdle})
 	n.server = platform.NewServer(platform.ServerConfig{
 		Host: s.Host, Client: n.client, ServerID: n.admitter.ServerID, OnReport: n.admitter.ApplyReport,
-		Logger: n.log,
+		OnLeaving: func(leaving bool) { n.setLeaveReason(leaveServer, leaving) }, Logger: n.log,
 	})
 	n.peers.SetLocal(owner.New(owner.Config{Host: s.Host, Server: checkOnFailure{n}, Admitter: n.admitter}))
 	n.peers.Handle(roster.KindState, n.roster.Handle)
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -311,6 +311,28 @@
 	is.Equal(n.guard.Panics(), int64(1))
 }
 
+// Guards against requests to a server that says in its answers that it is leaving, from any
+// node, and against a later start of the server under the same ID that stays out of use.
+func TestServerSaysThatItIsLeaving(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 3)
+	d.apps[0].SetHeader("Server-Leaving", "1")
+	d.waitFor(func() bool { return d.nodes[0].Status().Load.Leaving })
+	for i := range 30 {
+		status, _ := d.send(i%3, fmt.Sprint("q-", i))
+		is.Equal(status, 200)
+		is.True(d.ranAt(fmt.Sprint("q-", i)) > 0)
+	}
+	// The entry says so too, and ends first.
+	d.publishEntry(0, "draining")
+	d.waitFor(func() bool { return d.nodes[0].roster.Placement().ServerByID("i-0").Draining })
+	d.publishEntry(0, "ready")
+	d.waitFor(func() bool { return !d.nodes[0].roster.Placement().ServerByID("i-0").Draining })
+	is.True(d.nodes[0].Status().Load.Leaving)
+	d.apps[0].SetHeader("Server-Leaving")
+	d.waitFor(func() bool { return !d.nodes[0].Status().Load.Leaving })
+}
+
 // Guards against a limit named by a server that its node doesn't enforce for the requests
 // of all nodes, or that operators can't see.
 func TestServerNamesLimit(t *testing.T) {
