--- a/server/server.go
+++ b/server/server.go
@@ -152,11 +152,13 @@
 		return nil, err
 	}
 	answer.ServiceTime = time.Since(start)
+	shed := !c.config.OmitNodeHeaders && answer.Status == http.StatusServiceUnavailable &&
+		answer.Header.Get(HeaderShed) == "true" && answer.Rest == nil
 	if answer.Rest == nil {
-		c.releaseConn(conn, reusable)
+		// A second copy of a refusal would say of the next request that it did not run.
+		c.releaseConn(conn, reusable && (!shed || conn.returnsSequence))
 	}
-	if !c.config.OmitNodeHeaders && answer.Status == http.StatusServiceUnavailable &&
-		answer.Header.Get(HeaderShed) == "true" && answer.Rest == nil {
+	if shed {
 		return nil, c.refusal(prim.ReasonShed)
 	}
 	return answer, nil
