--- a/errors.go
+++ b/errors.go
@@ -98,6 +98,23 @@
 // Unwrap returns the cause.
 func (e *LostAnswerError) Unwrap() error { return e.Cause }
 
+// LostCause is what another process or an earlier attempt reports as the cause of a
+// LostAnswerError: its text, and whether it was a timeout. It has no cause of its own, since
+// a refusal in the chain would make a request that may have run look like NotRun.
+type LostCause struct {
+	Text    string
+	Timeout bool
+}
+
+// NewLostCause returns the LostCause of an error.
+func NewLostCause(err error) *LostCause { return &LostCause{fmt.Sprint(err), IsTimeout(err)} }
+
+// Error returns the text.
+func (c *LostCause) Error() string { return c.Text }
+
+// Is makes errors.Is match context.DeadlineExceeded if the cause was a timeout.
+func (c *LostCause) Is(target error) bool { return c.Timeout && target == context.DeadlineExceeded }
+
 // AllowanceExceededError is the error of a call that exceeds the customer's allowance.
 // The call did not run.
 type AllowanceExceededError struct {
--- a/retry/attempt.go
+++ b/retry/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"sync"
 	"time"
@@ -34,9 +33,7 @@
 	a, err := run()
 	var lost *prim.LostAnswerError
 	if errors.As(err, &lost) {
-		// Only the text of the cause is kept: a refusal in the error chain would
-		// make a request that may have run look like NotRun.
-		err = &prim.LostAnswerError{Host: lost.Host, Cause: &lostCause{fmt.Sprint(lost.Cause), prim.IsTimeout(lost.Cause)}, Reset: lost.Reset}
+		err = &prim.LostAnswerError{Host: lost.Host, Cause: prim.NewLostCause(lost.Cause), Reset: lost.Reset}
 	}
 	k.report(ctx, h.Name, a, err, time.Since(started))
 	if err != nil {
@@ -52,17 +49,6 @@
 	return &streamed, nil
 }
 
-// lostCause holds the text of an error, and whether the error was a timeout.
-type lostCause struct {
-	text    string
-	timeout bool
-}
-
-func (c *lostCause) Error() string { return c.text }
-
-// Is makes errors.Is match context.DeadlineExceeded if the cause was a timeout.
-func (c *lostCause) Is(target error) bool { return c.timeout && target == context.DeadlineExceeded }
-
 // stream is the rest of a streamed answer. Closing it ends the attempt.
 type stream struct {
 	io.ReadCloser
--- a/wire/convert.go
+++ b/wire/convert.go
@@ -99,7 +99,7 @@
 	if errors.As(err, &conflict) {
 		return Header{Type: Conflict, ID: id, Key: conflict.Key}
 	}
-	h := Header{Type: Lost, ID: id, Text: err.Error()}
+	h := Header{Type: Lost, ID: id, Text: err.Error(), TimedOut: prim.IsTimeout(err)}
 	var lost *prim.LostAnswerError
 	if errors.As(err, &lost) {
 		h.Reset = lost.Reset
@@ -127,7 +127,7 @@
 	case Conflict:
 		return nil, &prim.KeyConflictError{Key: h.Key}
 	default:
-		return nil, &prim.LostAnswerError{Host: host, Cause: errors.New(h.Text), Reset: h.Reset}
+		return nil, &prim.LostAnswerError{Host: host, Cause: &prim.LostCause{Text: h.Text, Timeout: h.TimedOut}, Reset: h.Reset}
 	}
 }
 
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -102,6 +102,8 @@
 	// send 0. A WebSocket message that is sent in parts seems complete if its connection
 	// ends between two of them.
 	BodyBytes int `cbor:"34,keyasint,omitempty"`
+	// TimedOut is set in a Lost that is due to a deadline.
+	TimedOut bool `cbor:"35,keyasint,omitempty"`
 }
 
 // FrameError reports a frame that can't be encoded or decoded, or that violates
--- a/wire/frame_test.go
+++ b/wire/frame_test.go
@@ -1,6 +1,7 @@
 package wire_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -33,7 +34,7 @@
 }
 
 // Guards against an outcome that changes between nodes: a refusal must stay
-// NotRun and a lost answer must stay Unknown.
+// NotRun, a lost answer must stay Unknown, and a timeout a timeout (504, not 502).
 func TestErrorRoundTrip(t *testing.T) {
 	is := is.New(t)
 	for _, c := range []struct {
@@ -45,6 +46,7 @@
 		{&prim.KeyConflictError{Key: "k"}, prim.NotRun},
 		{errors.New("other"), prim.Unknown},
 		{&prim.LostAnswerError{Host: "h", Cause: &prim.RefusalError{Reason: prim.ReasonBusy}}, prim.Unknown},
+		{&prim.LostAnswerError{Host: "h", Cause: context.DeadlineExceeded}, prim.Unknown},
 	} {
 		is.Equal(prim.OutcomeOf(c.err), c.want)
 		h := wire.ErrorHeader(7, c.err)
@@ -54,6 +56,7 @@
 		is.NoErr(err)
 		_, back := got.Result("h", body)
 		is.Equal(prim.OutcomeOf(back), c.want)
+		is.Equal(prim.IsTimeout(back), prim.IsTimeout(c.err))
 	}
 }
 
