--- a/gossip/core.go
+++ b/gossip/core.go
@@ -15,6 +15,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -68,6 +69,7 @@
 	unknownSizeReads       int  // index reads made while hostCount was 0
 	issuedAdvanced         bool // an Issued advanced since the view was published
 	wasIsolated            bool // whether the node was isolated at the last push
+	nextSearched           int  // position in the host list of the next host to search for
 
 	platformError    string
 	platformErrorAt  time.Time
@@ -88,6 +90,7 @@
 		heardAt:         make(map[prim.HostName]time.Time),
 		digestBudget:    newBudget(config.DigestRate, int(10*config.DigestRate)),
 		nextPushAt:      now,
+		nextSearched:    config.Rand.IntN(math.MaxInt32),
 		nextIndexReadAt: now.Add(time.Duration(float64(maxFirstReadDelay(config)) * config.Rand.Float64())),
 	}
 	shared := newBudget(config.BodyRate/2, config.BodyBurst/2)
@@ -131,7 +134,11 @@
 func (c *Core) Step(now time.Time) []Action {
 	var actions []Action
 	if !now.Before(c.nextPushAt) {
-		c.nextPushAt = now.Add(jittered(c.config.Period, c.config.Rand))
+		period := c.config.Period
+		if c.heardFew(now, searchWindow) {
+			period /= searchPushes
+		}
+		c.nextPushAt = now.Add(jittered(period, c.config.Rand))
 		actions = c.pushDigests(now)
 	}
 	if !c.indexReadPending && !now.Before(c.nextIndexReadAt) {
@@ -160,11 +167,12 @@
 	if seeds := len(c.config.Seeds); seeds > 0 && (c.hostCount == 0 || isolated && len(c.heardAt) == 0) {
 		targets = c.appendTarget(targets, c.config.Seeds[c.config.Rand.IntN(seeds)])
 	}
-	if hosts := c.view.Hosts.Hosts; isolated && len(hosts) > 0 {
-		// All regular peers may be on the other side of a partition, so send to
-		// random hosts as well.
-		for range c.config.Fanout {
-			targets = c.appendTarget(targets, hosts[c.config.Rand.IntN(len(hosts))].Name)
+	if hosts := c.view.Hosts.Hosts; c.heardFew(now, searchWindow) && len(hosts) > 0 {
+		// All regular peers may be on the other side of a partition, so send to all
+		// hosts in turn as well. Those in reach may have no state and know nobody.
+		for range min(c.config.Fanout, len(hosts)) {
+			c.nextSearched = (c.nextSearched + 1) % len(hosts)
+			targets = c.appendTarget(targets, hosts[c.nextSearched].Name)
 		}
 	}
 	if isolated && !c.wasIsolated {
@@ -189,9 +197,21 @@
 
 // isolated reports whether this node has heard from so few distinct peers that it
 // may miss newer versions.
-func (c *Core) isolated(now time.Time) bool {
-	peers := len(c.peers.local) + len(c.peers.remote)
-	return c.hostCount > 0 && now.Sub(c.startedAt) >= heardWindow && len(c.heardAt) < min(minHeardPeers, peers)
+func (c *Core) isolated(now time.Time) bool { return c.heardFew(now, heardWindow) }
+
+// heardFew reports whether this node, although it has been running that long, has heard
+// from fewer than minHeardPeers distinct peers within a window of at most heardWindow.
+func (c *Core) heardFew(now time.Time, window time.Duration) bool {
+	if c.hostCount == 0 || now.Sub(c.startedAt) < window {
+		return false
+	}
+	heard := 0
+	for _, t := range c.heardAt {
+		if now.Sub(t) <= window {
+			heard++
+		}
+	}
+	return heard < min(minHeardPeers, len(c.peers.local)+len(c.peers.remote))
 }
 
 // nextReadInterval returns the time until the next index read.
--- a/gossip/document.go
+++ b/gossip/document.go
@@ -26,8 +26,8 @@
 	// lost would block the document until its timeout. The delay increases by
 	// hedgeDelayPerMiB for each MiB of the version in force, so that a large body
 	// still in transfer is not fetched twice.
-	maxConcurrentFetches = 6
-	hedgeDelay           = 300 * time.Millisecond
+	maxConcurrentFetches = 10
+	hedgeDelay           = 200 * time.Millisecond
 	hedgeDelayPerMiB     = time.Second
 	// peerRetryDelay and platformRetryDelay are the delays before a fetch from a
 	// source that failed is retried. The platform's delay is longer, since every read
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -193,6 +193,24 @@
 	})
 }
 
+// Guards against a node without state that only one other node can reach, which has no
+// other way to find it than to try, while three in ten messages are lost and the platform is
+// down.
+func TestRestartInPartitionOfTwo(t *testing.T) {
+	checkFleets(t, 4, 8, func(t *rapid.T, f *fleet) {
+		f.lossRate, f.seeds = 0.3, []prim.HostName{"h0", "h1"}
+		f.startAll()
+		f.requireConvergence(t)
+		f.applyEvent("down", f.hosts[0])
+		f.mu.Lock()
+		f.partition["h2"], f.partition["h3"] = 1, 1
+		f.mu.Unlock()
+		time.Sleep(time.Duration(f.random()%3000) * time.Millisecond)
+		f.applyEvent("restart", f.hosts[2])
+		f.requireConvergence(t)
+	})
+}
+
 // Guards against a node that starts while the platform is down getting no documents,
 // even if it is not in the host list of the other nodes.
 func TestJoinWhilePlatformDown(t *testing.T) {
--- a/gossip/rate.go
+++ b/gossip/rate.go
@@ -38,6 +38,12 @@
 	minHeardPeers        = 2
 	heardWindow          = 4 * time.Second
 	maxIsolatedReadDelay = 4 * time.Second
+	// A node that has heard from so few peers within searchWindow sends digests searchPushes
+	// times in each Period, to all hosts in turn: a node without state that only this one
+	// can reach gets no documents before it is found. It is shorter than heardWindow since a
+	// search costs digests, bounded by Config.DigestRate, but no reads.
+	searchWindow = 2 * time.Second
+	searchPushes = 4
 	// maxUnknownSizeInterval is the maximum mean read interval while the size of the
 	// fleet is unknown. It is longer than the mean interval at the target fleet size.
 	maxUnknownSizeInterval = 32 * time.Second
