--- a/roster/apply.go
+++ b/roster/apply.go
@@ -55,7 +55,11 @@
 	}
 	previous := r.enterEra(now, revision)
 	r.ownEntryDisputed, r.registryLost, r.reportedRemovals = false, false, nil
-	r.behind = behindState{readAt: now, readNew: revision > r.revision || s.Routing != nil && s.Routing.Version > r.routing.Version}
+	routes := r.routing.Version
+	if s.Routing != nil {
+		routes = max(routes, s.Routing.Version)
+	}
+	r.behind = behindState{readAt: now, caughtUpByRead: revision >= r.behind.revision && routes >= r.behind.routes}
 	r.merge(s, r.removalsFrom)
 	listed := make(map[string]bool, len(s.Servers))
 	for _, e := range s.Servers {
--- a/roster/behind.go
+++ b/roster/behind.go
@@ -14,18 +14,19 @@
 	// maxBehind is how long a node may stay behind before it reads the registry. A fetch
 	// takes a few milliseconds, or some hundred if the state is large.
 	maxBehind = time.Second
-	// minBehindReadInterval is the minimum time from a full read that brought nothing new to
-	// one because the node is behind: a faulty node may report state that nobody has.
+	// minBehindReadInterval is the minimum time from a full read that did not bring what
+	// others had reported to one because the node is behind: a faulty node may report state
+	// that nobody has.
 	minBehindReadInterval = 5 * time.Second
 )
 
 // behindState tracks whether other nodes have newer state.
 type behindState struct {
-	since    time.Time // zero if no node has newer state
-	revision prim.Revision
-	routes   uint64
-	readAt   time.Time // last full read of the registry
-	readNew  bool      // that read brought newer state
+	since          time.Time // zero if no node has newer state
+	revision       prim.Revision
+	routes         uint64
+	readAt         time.Time // last full read of the registry
+	caughtUpByRead bool      // that read brought all that others had reported
 }
 
 // observe records that another node has newer state.
@@ -45,5 +46,5 @@
 
 // isTooLong reports whether this node has to read the registry because it is behind.
 func (b *behindState) isTooLong(now time.Time) bool {
-	return !b.since.IsZero() && now.Sub(b.since) > maxBehind && (b.readNew || now.Sub(b.readAt) > minBehindReadInterval)
+	return !b.since.IsZero() && now.Sub(b.since) > maxBehind && (b.caughtUpByRead || now.Sub(b.readAt) > minBehindReadInterval)
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -198,14 +198,14 @@
 // setServer applies a server's entry. It returns false if nothing but the revision
 // changed.
 func (r *Roster) setServer(e prim.ServerEntry, source string) bool {
-	old, known := r.servers[e.ID]
-	if known && e.Revision <= old.Revision || r.removalRevision(e.ID) >= e.Revision {
-		return false
-	}
 	if err := e.Check(); err != nil {
 		r.log.Warn("server entry refused", "Error", err, "Revision", e.Revision, "Source", source)
 		return false
 	}
+	old, known := r.servers[e.ID]
+	if known && e.Revision <= old.Revision || r.removalRevision(e.ID) >= e.Revision {
+		return false
+	}
 	r.servers[e.ID] = e
 	if e.Born.After(r.newestStart) {
 		r.newestStart = e.Born
--- a/roster/selection_test.go
+++ b/roster/selection_test.go
@@ -213,12 +213,17 @@
 			is.Equal(r.Placement().Routing.Version, version)
 		}
 		is.True(!r.Annotate(time.Now(), prim.LoadSample{}).Reading)
-		// State that nobody has doesn't make the node read all the time.
+		// State that nobody has doesn't make the node read all the time, although each read
+		// brings a new revision.
 		calls := g.callCount()
-		hear(30*time.Second, func(s *prim.LoadSample) { s.Number += 1000 })
+		hear(30*time.Second, func(s *prim.LoadSample) {
+			g.update(func() {})
+			s.Number += 100_000
+		})
 		others := g.callCount() - calls
-		hear(30*time.Second, func(*prim.LoadSample) {})
+		hear(30*time.Second, func(*prim.LoadSample) { g.update(func() {}) })
 		is.True(g.callCount()-calls < 2*others+10)
+		is.True(others < g.callCount()-calls-others+10) // one read every 5 s
 		is.True(others < 60)
 	})
 }
--- a/roster/share.go
+++ b/roster/share.go
@@ -62,8 +62,8 @@
 	Removed      []prim.Removal          `cbor:"6,keyasint"`
 }
 
-// serverEntries is a list of entries of which those that can't be decoded are left out, so
-// that they don't keep the rest of a response from this node.
+// serverEntries is a list of entries of which those that can't be decoded are empty, so that
+// they don't keep the rest of a response from this node. Roster.setServer refuses them.
 type serverEntries []prim.ServerEntry
 
 // UnmarshalCBOR implements cbor.Unmarshaler.
@@ -80,9 +80,10 @@
 	*l = nil
 	for _, item := range encoded {
 		var e prim.ServerEntry
-		if cbor.Unmarshal(item, &e) == nil {
-			*l = append(*l, e)
+		if cbor.Unmarshal(item, &e) != nil {
+			e = prim.ServerEntry{}
 		}
+		*l = append(*l, e)
 	}
 	return nil
 }
--- a/roster/unencodable_test.go
+++ b/roster/unencodable_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"log/slog"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,8 +58,10 @@
 	is.NoErr(err)
 	var resp stateResponse
 	is.NoErr(cbor.Unmarshal(b, &resp))
-	r := New(Config{RepublishDelay: republishDelay, DataCentre: "a"})
+	var log strings.Builder
+	r := New(Config{RepublishDelay: republishDelay, DataCentre: "a", Logger: slog.New(slog.NewTextHandler(&log, nil))})
 	r.applyResponse(resp, "test")
+	is.Equal(strings.Count(log.String(), "server entry refused"), 3)
 	is.Equal(r.Placement().Routing.Version, uint64(7))
 	is.Equal(len(r.Placement().Servers), 1)
 	is.Equal(r.Placement().Servers[0].ID, "i-1")
