--- a/slots/pace_test.go
+++ b/slots/pace_test.go
@@ -27,7 +27,6 @@
 		now, largest := epoch, rate
 		changed := epoch
 		var starts []time.Time
-		var jobs []*job
 		for range rapid.IntRange(1, 400).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "ms")) * time.Millisecond)
 			switch rapid.IntRange(0, 40).Draw(t, "what") {
@@ -41,7 +40,6 @@
 				j := newTestJob("c", time.Duration(rapid.IntRange(0, 100).Draw(t, "wait"))*time.Millisecond, 10*time.Second, now)
 				j.request.Priority = rapid.IntRange(0, 2).Draw(t, "priority")
 				s.offer(now, j)
-				jobs = append(jobs, j)
 			}
 			s.advance(now)
 			for _, j := range s.takeDecided() {
