--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -17,7 +17,8 @@
 
 // scripts are the cases by their names. Each returns whether the rule was broken.
 var scripts = map[string]func(r *record, trouble bool) (broken bool, err error){
-	"reuse": runReuse,
+	"reuse":  runReuse,
+	"zombie": runZombie,
 }
 
 func main() {
