--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -17,6 +17,7 @@
 
 // scripts are the cases by their names. Each returns whether the rule was broken.
 var scripts = map[string]func(r *record, trouble bool) (broken bool, err error){
+	"blip":   runBlip,
 	"cold":   runCold,
 	"reuse":  runReuse,
 	"zombie": runZombie,
