--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -89,8 +89,9 @@
 	return true
 }
 
-// publishConfig writes the next version of the operator's configuration.
-func (f *fleet) publishConfig(timeout time.Duration) time.Time {
+// publishConfig writes the next version of the operator's configuration, in which a service
+// serves the safe and the unsafe route.
+func (f *fleet) publishConfig(timeout time.Duration, service string) time.Time {
 	f.version += 3
 	ms := timeout.Milliseconds()
 	return f.store.put("op/config", map[string]any{
@@ -98,8 +99,8 @@
 		"routes": map[string]any{
 			"columns": []string{"name", "host", "prefix", "kind", "timeout_ms", "slo_ms", "priority", "service", "attempts", "split"},
 			"rows": [][]any{
-				{"r-safe", routeHost, "/safe/", "safe", ms, 200, 2, "bookings", 2, nil},
-				{"r-unsafe", routeHost, "/unsafe/", "unsafe", ms, 250, 1, "bookings", 2, nil},
+				{"r-safe", routeHost, "/safe/", "safe", ms, 200, 2, service, 2, nil},
+				{"r-unsafe", routeHost, "/unsafe/", "unsafe", ms, 250, 1, service, 2, nil},
 				{"r-pay", routeHost, "/pay/", "unsafe", ms, 250, 0, "payments", 2, nil},
 			},
 		},
@@ -124,7 +125,7 @@
 
 // start starts the servers and the nodes, and waits until all nodes are ready.
 func (f *fleet) start(timeout time.Duration) error {
-	f.publishConfig(timeout)
+	f.publishConfig(timeout, "bookings")
 	for i, h := range f.hosts {
 		var err error
 		if h.storeProxy, err = newProxy(fmt.Sprintf("%s.%d:%d", f.network, 100+i, portStore), f.storeAddress); err != nil {
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -17,11 +17,11 @@
 
 // scripts are the cases by their names. Each returns whether the rule was broken.
 var scripts = map[string]func(r *record, trouble bool) (broken bool, err error){
-	"blip":   runBlip,
-	"cold":   runCold,
-	"cut":    runCut,
-	"reuse":  runReuse,
-	"zombie": runZombie,
+	"cold":    runCold,
+	"cut":     runCut,
+	"readers": runReaders,
+	"reuse":   runReuse,
+	"zombie":  runZombie,
 }
 
 func main() {
--- a/review/harness/node.go
+++ b/review/harness/node.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -92,6 +93,25 @@
 	return nil
 }
 
+// reading tells whether the node of a host follows the store, as its log says.
+func (f *fleet) reading(h *host) bool {
+	log, err := os.ReadFile(filepath.Join(f.folder, h.name+".log"))
+	if err != nil {
+		return false
+	}
+	return bytes.LastIndex(log, []byte(`"Reading":true`)) > bytes.LastIndex(log, []byte(`"Reading":false`))
+}
+
+// notReading returns a host whose node doesn't follow the store, or nil.
+func (f *fleet) notReading() *host {
+	for _, h := range f.hosts {
+		if !f.reading(h) {
+			return h
+		}
+	}
+	return nil
+}
+
 // signal sends a signal to the node of a host, unless it has ended.
 func (f *fleet) signal(h *host, s syscall.Signal) {
 	select {
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -29,10 +30,11 @@
 	changed chan struct{} // closed and replaced at each write and each cut of the watches
 	cuts    int           // number of calls of cutWatches
 	down    bool
+	polls   map[string]int // watches that don't wait, by the caller's address
 }
 
 func newStore() *store {
-	return &store{rev: 1, items: make(map[string]item), changed: make(chan struct{})}
+	return &store{rev: 1, items: make(map[string]item), polls: make(map[string]int), changed: make(chan struct{})}
 }
 
 // notify wakes the watches. The caller holds s.mu.
@@ -90,6 +92,13 @@
 	s.notify()
 }
 
+// pollsOf returns how often a caller has asked for changes without waiting.
+func (s *store) pollsOf(address string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.polls[address]
+}
+
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
@@ -103,6 +112,9 @@
 	case r.URL.Path == "/v1/kv-watch":
 		after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
 		wait, _ := strconv.Atoi(q.Get("wait_ms"))
+		if caller, _, err := net.SplitHostPort(r.RemoteAddr); err == nil && wait <= 1 {
+			s.polls[caller]++
+		}
 		s.serveWatch(w, r, q.Get("prefix"), after, time.Duration(wait)*time.Millisecond)
 	default:
 		w.WriteHeader(http.StatusNotFound)
