--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -5,7 +5,9 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -44,6 +46,7 @@
 		return nil, err
 	}
 	f := &fleet{record: r, folder: folder, store: newStore(), done: make(chan struct{})}
+	f.closeOnSignal()
 	if f.network, err = freeNetwork(len(zones)); err != nil {
 		return f, err
 	}
@@ -168,6 +171,18 @@
 	return nil
 }
 
+// closeOnSignal ends all that the script has started, and the script itself, if it is
+// interrupted.
+func (f *fleet) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		f.close()
+		os.Exit(couldntRun)
+	}()
+}
+
 // close ends all that the script has started.
 func (f *fleet) close() {
 	for _, h := range f.hosts {
