--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -27,9 +27,8 @@
 	rev     uint64
 	items   map[string]item
 	history []item
-	changed chan struct{} // closed and replaced at each write and each cut of the watches
-	cuts    int           // number of calls of cutWatches
-	down    bool
+	changed chan struct{}  // closed and replaced at each write and each cut of the watches
+	cuts    int            // number of calls of cutWatches
 	polls   map[string]int // watches that don't wait, by the caller's address
 }
 
@@ -83,15 +82,6 @@
 	s.notify()
 }
 
-// setDown starts or ends an outage, in which every call is answered 503.
-func (s *store) setDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.down = down
-	s.cuts++
-	s.notify()
-}
-
 // pollsOf returns how often a caller has asked for changes without waiting.
 func (s *store) pollsOf(address string) int {
 	s.mu.Lock()
@@ -105,8 +95,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case s.down:
-		w.WriteHeader(http.StatusServiceUnavailable)
 	case r.URL.Path == "/v1/kv-range":
 		s.serveRange(w, q.Get("prefix"), q.Get("after"))
 	case r.URL.Path == "/v1/kv-watch":
