--- a/review/harness/cut.go
+++ b/review/harness/cut.go
@@ -1,14 +1,17 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
-	"syscall"
+	"slices"
 	"time"
+
+	"github.com/zeebo/xxh3"
 )
 
 // runCut partitions one machine from the store. Meanwhile the entry of its server is removed,
-// which leaves without reporting it, goes on serving for some seconds and then exits. The store
-// and all other machines are well.
+// which leaves without reporting it and goes on serving for some seconds. The store is well. Then
+// the node beside the other server of the service is restarted as planned work.
 func runCut(r *record, trouble bool) (broken bool, err error) {
 	f, err := newFleet(r, "a", "a", "a", "a")
 	if f != nil {
@@ -19,22 +22,27 @@
 	}
 	const (
 		timeout = 600 * time.Millisecond
-		length  = 5500 * time.Millisecond // of the cut
+		length  = 4500 * time.Millisecond // of the cut
 		before  = 4 * time.Second         // from its begin to the removal
-		serving = 5500 * time.Millisecond // how long the server serves after the removal
+		restart = 2500 * time.Millisecond // from the removal to the restart of another node
 	)
+	// The nodes of the first two hosts by hash follow the store.
+	hosts := slices.SortedFunc(slices.Values(f.hosts), func(a, b *host) int {
+		return cmp.Compare(xxh3.HashString(a.ip), xxh3.HashString(b.ip))
+	})
 	for _, h := range f.hosts {
 		h.server.work = 120 * time.Millisecond
 	}
+	hosts[0].server.service, hosts[1].server.service = "payments", "payments"
+	leaving, other := hosts[2], hosts[3]
 	if err := f.start(timeout); err != nil {
 		return false, err
 	}
-	stop := f.startClients(30, timeout)
+	stop := f.startClients(20, timeout)
 	time.Sleep(5 * time.Second)
 
-	leaving := f.notReading()
-	if leaving == nil {
-		return false, fmt.Errorf("every node reads the store")
+	if f.reading(leaving) {
+		return false, fmt.Errorf("%s follows the store", leaving.name)
 	}
 	begin := time.Now()
 	if trouble {
@@ -42,6 +50,7 @@
 		leaving.storeProxy.setCut(true)
 	}
 	time.Sleep(before)
+	leaving.server.leave()
 	acknowledged := f.store.remove("servers/" + leaving.server.id)
 	r.say("the store acknowledges at %s s that the entry of server %s is removed", r.at(acknowledged), leaving.server.id)
 	time.Sleep(time.Until(begin.Add(length)))
@@ -50,12 +59,11 @@
 		r.say("%s reaches the store again at %s s", leaving.name, r.at(healed))
 		leaving.storeProxy.setCut(false)
 	}
-	time.Sleep(time.Until(acknowledged.Add(serving)))
-	leaving.server.exit()
-	exit := time.Now()
-	time.Sleep(500 * time.Millisecond)
-	f.signal(leaving, syscall.SIGTERM)
-	time.Sleep(2 * time.Second)
+	time.Sleep(time.Until(acknowledged.Add(restart)))
+	exit, err := f.exitDuringRestart(leaving, other)
+	if err != nil {
+		return false, err
+	}
 	stop()
 
 	sent := f.sent()
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -33,6 +33,7 @@
 const (
 	contact  = 3 * time.Second
 	drain    = 2 * time.Second
+	grace    = 6 * time.Second
 	coldRate = 35.0
 	coldTime = 3 * time.Second
 	coldMost = coldRate*1.5 + 5 // requests to a cold server in one second
--- a/review/harness/node.go
+++ b/review/harness/node.go
@@ -102,16 +102,6 @@
 	return bytes.LastIndex(log, []byte(`"Reading":true`)) > bytes.LastIndex(log, []byte(`"Reading":false`))
 }
 
-// notReading returns a host whose node doesn't follow the store, or nil.
-func (f *fleet) notReading() *host {
-	for _, h := range f.hosts {
-		if !f.reading(h) {
-			return h
-		}
-	}
-	return nil
-}
-
 // signal sends a signal to the node of a host, unless it has ended.
 func (f *fleet) signal(h *host, s syscall.Signal) {
 	select {
@@ -132,6 +122,28 @@
 	<-h.exited
 }
 
+// exitDuringRestart restarts the node of a host as planned work. When it has stopped, a server
+// that is leaving exits, whose node gets SIGTERM a moment later. It returns the time of the exit.
+func (f *fleet) exitDuringRestart(leaving, restarted *host) (exit time.Time, err error) {
+	f.signal(restarted, syscall.SIGTERM)
+	select {
+	case <-restarted.exited:
+	case <-time.After(grace):
+		f.stopNode(restarted)
+	}
+	f.record.write("node of %s has ended", restarted.name)
+	time.Sleep(300 * time.Millisecond)
+	exit = time.Now()
+	leaving.server.exit()
+	time.Sleep(200 * time.Millisecond)
+	if err := f.startNode(restarted); err != nil {
+		return exit, err
+	}
+	f.signal(leaving, syscall.SIGTERM)
+	time.Sleep(3 * time.Second)
+	return exit, nil
+}
+
 // checkReadiness asks a node once a second whether it is ready, as the platform does, until
 // done is closed.
 func (h *host) checkReadiness(done <-chan struct{}) {
--- a/review/harness/reuse.go
+++ b/review/harness/reuse.go
@@ -20,6 +20,7 @@
 		timeout = 600 * time.Millisecond
 		reuse   = 2 * time.Second // reuse_after_s
 		listed  = 500 * time.Millisecond
+		silence = 4500 * time.Millisecond // three heartbeats, after which an entry is removed
 	)
 	f.hosts[3].server.service = "payments"
 	for _, h := range f.hosts {
@@ -57,8 +58,8 @@
 		if err := f.startNode(h); err != nil {
 			return false, err
 		}
-		time.Sleep(3 * time.Second)
-		f.store.remove("servers/" + old.id) // after three heartbeats of silence
+		time.Sleep(time.Until(crashed.Add(silence)))
+		f.store.remove("servers/" + old.id)
 	}
 	time.Sleep(2 * time.Second)
 	stop()
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -31,6 +31,7 @@
 	crashAt   int // requests within a second at which a cold server crashes; 0 for never
 	http      *http.Server
 	exited    bool
+	leaving   bool
 }
 
 // arrival is a request that a server began to run.
@@ -72,6 +73,15 @@
 	s.record.write("server %s is cold for %v", s.id, d)
 }
 
+// leave makes the server say that it is leaving, in its health checks and by closing the
+// connections of its answers. It goes on serving.
+func (s *server) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+	s.record.write("server %s is leaving", s.id)
+}
+
 // load returns the value of X-Server-Load. The caller holds s.mu.
 func (s *server) load() string { return fmt.Sprintf("%d,%d,%d,100", s.running, s.waiting, s.slots) }
 
@@ -80,9 +90,14 @@
 	h := w.Header()
 	h.Set("Keep-Alive", "timeout=10")
 	if r.URL.Path == healthPath {
-		s.serveHealth(h)
+		s.serveHealth(w)
 		return
 	}
+	s.mu.Lock()
+	if s.leaving {
+		h.Set("Connection", "close")
+	}
+	s.mu.Unlock()
 	id := r.Header.Get("X-Attempt-Id")
 	h.Set("X-Attempt-Id", id)
 	_, err := io.Copy(io.Discard, r.Body)
@@ -200,7 +215,8 @@
 
 const healthPath = "/healthz"
 
-func (s *server) serveHealth(h http.Header) {
+func (s *server) serveHealth(w http.ResponseWriter) {
+	h := w.Header()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h.Set("X-Instance-Id", s.id)
@@ -208,6 +224,9 @@
 	if left := time.Until(s.coldUntil); left > 0 {
 		h.Set("X-Warmup-Ms", strconv.FormatInt(left.Milliseconds(), 10))
 	}
+	if s.leaving {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
 }
 
 // ran returns the requests that the server began to run.
--- a/review/harness/zombie.go
+++ b/review/harness/zombie.go
@@ -1,13 +1,10 @@
 package main
 
-import (
-	"syscall"
-	"time"
-)
+import "time"
 
 // runZombie removes the entry of a server that leaves without reporting it, and lets the
 // store cut the waiting watches once, a second later. The server goes on serving for some
-// seconds, and then exits.
+// seconds. Then the node beside the other server of the service is restarted as planned work.
 func runZombie(r *record, trouble bool) (broken bool, err error) {
 	f, err := newFleet(r, "a", "a", "b", "b")
 	if f != nil {
@@ -17,16 +14,20 @@
 		return false, err
 	}
 	const timeout = 600 * time.Millisecond
-	for _, h := range f.hosts {
+	for i, h := range f.hosts {
 		h.server.work = 120 * time.Millisecond
+		if i%2 == 1 {
+			h.server.service = "payments"
+		}
 	}
 	if err := f.start(timeout); err != nil {
 		return false, err
 	}
-	stop := f.startClients(30, timeout)
+	stop := f.startClients(20, timeout)
 	time.Sleep(5 * time.Second)
 
-	leaving := f.hosts[0]
+	leaving, other := f.hosts[0], f.hosts[2]
+	leaving.server.leave()
 	acknowledged := f.store.remove("servers/" + leaving.server.id)
 	r.say("the store acknowledges at %s s that the entry of server %s is removed", r.at(acknowledged), leaving.server.id)
 	time.Sleep(time.Second)
@@ -36,12 +37,11 @@
 		f.store.cutWatches()
 	}
 	inTouch := cut.Add(contact)
-	time.Sleep(time.Until(acknowledged.Add(12 * time.Second)))
-	leaving.server.exit()
-	exit := time.Now()
-	time.Sleep(500 * time.Millisecond)
-	f.signal(leaving, syscall.SIGTERM)
-	time.Sleep(2 * time.Second)
+	time.Sleep(time.Until(acknowledged.Add(5 * time.Second)))
+	exit, err := f.exitDuringRestart(leaving, other)
+	if err != nil {
+		return false, err
+	}
 	stop()
 
 	// Counted are requests that reach the server later than drain_ms after the
