--- a/review/harness/cold.go
+++ b/review/harness/cold.go
@@ -14,7 +14,10 @@
 	if err != nil {
 		return false, err
 	}
-	const timeout = 600 * time.Millisecond
+	const (
+		timeout = 600 * time.Millisecond
+		usedUp  = 52 // requests in a second after which the node is killed
+	)
 	for _, h := range f.hosts {
 		h.server.work = 20 * time.Millisecond
 		h.server.crashAt = 100
@@ -28,7 +31,7 @@
 	h := f.hosts[0]
 	h.server.becomeCold(coldTime)
 	cold := time.Now()
-	time.Sleep(1200 * time.Millisecond)
+	h.server.awaitCold(usedUp, coldTime/2)
 	if trouble {
 		f.stopNode(h)
 		time.Sleep(200 * time.Millisecond)
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -199,12 +199,7 @@
 	if !a.cold || s.crashAt == 0 || s.exited {
 		return false
 	}
-	n := 0
-	for _, b := range s.arrivals {
-		if b.cold && a.at.Sub(b.at) < time.Second {
-			n++
-		}
-	}
+	n := s.recentCold(a.at)
 	if n < s.crashAt {
 		return false
 	}
@@ -213,6 +208,30 @@
 	return true
 }
 
+// recentCold returns the number of requests within the last second that the server has got
+// while it was cold. The caller holds s.mu.
+func (s *server) recentCold(now time.Time) (n int) {
+	for _, a := range s.arrivals {
+		if a.cold && now.Sub(a.at) < time.Second {
+			n++
+		}
+	}
+	return n
+}
+
+// awaitCold waits until a cold server has got a number of requests within a second, but not
+// longer than the time given.
+func (s *server) awaitCold(requests int, most time.Duration) {
+	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		s.mu.Lock()
+		n := s.recentCold(time.Now())
+		s.mu.Unlock()
+		if n >= requests {
+			return
+		}
+	}
+}
+
 const healthPath = "/healthz"
 
 func (s *server) serveHealth(w http.ResponseWriter) {
