--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -68,7 +68,7 @@
 }
 
 // ports are the same on all machines.
-type ports struct{ callers, ready, peers, server, store int }
+type ports struct{ callers, ready, peers, server int }
 
 // machineConfig describes a machine of a deployment.
 type machineConfig struct {
