--- a/review/standin-2/removed.go
+++ b/review/standin-2/removed.go
@@ -17,6 +17,11 @@
 	})
 }
 
+// without returns the machines but one.
+func without(machines []int, left int) []int {
+	return slices.DeleteFunc(slices.Clone(machines), func(i int) bool { return i == left })
+}
+
 // removedServerUsedAgain lets a zone lose power while servers of other zones leave, whose
 // entries are removed without a report that they drain. When the entries of the lost zone have
 // expired too, most entries are gone, and the nodes use those that left again.
@@ -29,16 +34,17 @@
 	for i := range configs {
 		configs[i] = machineConfig{[]string{"tas-south-a", "tas-south-a", "tas-south-a", "tas-south-a", "tas-south-b", "tas-south-b", "tas-south-b", "tas-south-c", "tas-south-c", "tas-south-c"}[i], "bookings", 60 * time.Millisecond}
 	}
-	// One server of each zone that remains leaves. The nodes beside them follow the store, as
-	// two nodes of three do.
-	zoneB, zoneC := []int{4, 5, 6}, []int{7, 8, 9}
-	leavingIndex := []int{d.reader(zoneB...), d.reader(zoneC...)}
-	first := d.reader(leavingIndex...)
-	remaining := zoneB
-	if first == leavingIndex[0] {
-		remaining = zoneC
+	// Three servers leave: the one of payments beside a node that follows the store, another of
+	// its zone, and one of the third zone, where the last one of payments remains.
+	home, other := []int{4, 5, 6}, []int{7, 8, 9}
+	first := d.reader(append(home, other...)...)
+	if !slices.Contains(home, first) {
+		home, other = other, home
 	}
-	remaining = slices.DeleteFunc(remaining, func(i int) bool { return slices.Contains(leavingIndex, i) })
+	second := d.reader(other...)
+	third := d.reader(without(home, first)...)
+	remaining := without(other, second)
+	leavingIndex := []int{first, second, third}
 	for _, i := range []int{0, first, remaining[0]} {
 		configs[i].service, configs[i].workTime = "payments", 42*time.Millisecond
 	}
@@ -87,7 +93,7 @@
 		d.record.add("store: entry of %s is removed, acknowledged", m.server.id)
 	}
 	// They serve on for drainTime and a little longer.
-	const longer = 1800 * time.Millisecond
+	const longer = 600 * time.Millisecond
 	time.Sleep(drainTime + longer)
 	for _, m := range leaving {
 		m.server.stop()
