--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -274,6 +274,13 @@
 	io.WriteString(w, answer)
 }
 
+// spoil sets the share of its answers that the server spoils.
+func (s *server) spoil(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spoiledShare = share
+}
+
 // sendSpoiled sends an answer with the status 101, and keeps the connection for a moment.
 func sendSpoiled(w http.ResponseWriter, id, load, answer string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
