quota: TestRetryAfterIsUseful checks the first refusal

Cause: the test took tokens until one was refused, and then checked the refusal of the next request.

Change: the test checks the refusal that ended the loop. What it asks of it is as before: 429, a time to wait of at most maxBackOff, and a token after that time.

--- a/quota/shares_test.go
+++ b/quota/shares_test.go
@@ -585,9 +585,12 @@
 			f.syncAll(time.Now())
 		}
 		n := f.nodes[0]
-		for n.shares.Load().Take(t.Context(), &rule) == nil {
+		// The first refusal is checked, not that of a later request: a request that asks an
+		// owner takes time, in which a token comes in.
+		var err error
+		for err == nil {
+			err = n.shares.Load().Take(t.Context(), &rule)
 		}
-		err := n.shares.Load().Take(t.Context(), &rule)
 		var over *prim.AllowanceExceededError
 		is.True(errors.As(err, &over))
 		is.True(over.RetryAfter > 0 && over.RetryAfter <= maxBackOff)
