memory: bound what the process has in use, garbage included

Callers saw: under clients that send bodies over the limit a process went over its memory now and then, and was ended.

Cause: the budget bounded the sum of reserved bytes. What has been released stays in use until the next garbage collection, so clients whose requests are rejected filled the memory with garbage as fast as they sent, although the budget was nearly empty. The memory limit of the Go runtime doesn't prevent that: the runtime exceeds it when it can't collect fast enough.

Change: each reservation also asks whether the memory that the runtime has in use leaves room for it. Without room, garbage is collected first, with pauses of at least four times the length of the last collection. The limit of the runtime is three quarters of the memory less 8 MiB for the program's code.

--- a/cmd/primrosethread/mesh.go
+++ b/cmd/primrosethread/mesh.go
@@ -16,6 +16,7 @@
 
 	"github.com/primrosethread/primrosethread/config"
 	"github.com/primrosethread/primrosethread/logs"
+	"github.com/primrosethread/primrosethread/memory"
 	"github.com/primrosethread/primrosethread/mesh"
 	"github.com/primrosethread/primrosethread/platform"
 )
@@ -53,8 +54,7 @@
 		debug.SetGCPercent(gcPercent)
 	}
 	if os.Getenv("GOMEMLIMIT") == "" && settings.MemoryMB > 0 {
-		// A limit of three quarters leaves room for what is outside the heap.
-		debug.SetMemoryLimit(int64(settings.MemoryMB) << 20 * 3 / 4)
+		debug.SetMemoryLimit(memory.GoLimit(settings.MemoryMB << 20))
 	}
 	writer := logs.New(logs.Config{Out: stdout, PerSecond: *linesPerSecond})
 	writerCtx, stopWriter := context.WithCancel(context.WithoutCancel(ctx))
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -23,6 +23,9 @@
 	// Bytes is the memory of the machine, and Descriptors the number of descriptors that
 	// the process may have open.
 	Bytes, Descriptors int
+	// InUse returns the memory that the process has in use, usually InUse of this package. If
+	// it is nil, only reserved bytes are bounded.
+	InUse func() int64
 }
 
 const (
@@ -49,14 +52,21 @@
 	// it is large; it leaves as much to the others.
 	sharePercent = 50
 
-	// ConnectionBytes is the cost of a connection: the buffers of net/http (8 KiB), the
-	// stack of its goroutine (8 KiB), and its header up to 4 KiB.
+	// ordinaryBytes is the size up to which a request may take the whole budget.
+	ordinaryBytes = 64 << 10
+
+	// ConnectionBytes is the cost of a connection: its input buffer (4 KiB), the stack of the
+	// goroutine that reads it (8 KiB), and its header up to 4 KiB as received and copied.
 	ConnectionBytes = 20 << 10
 	// connectionPercent is the part of the memory that connections may take.
 	connectionPercent = 25
 	// fileDescriptors are kept for files. The other descriptors are shared equally by
 	// callers on one side, and other nodes, the server and the store on the other.
 	fileDescriptors = 200
+	// backlogDivisor gives the part of the connections that may wait to be accepted, and
+	// backlogBytes what the kernel may hold for each of them.
+	backlogDivisor = 8
+	backlogBytes   = 128 << 10
 	// maxConnections applies without settings.
 	maxConnections = 1 << 20
 
@@ -76,6 +86,8 @@
 type Budget struct {
 	limit       int64
 	connections int
+	process     *process
+	unread      unread
 	used        atomic.Int64
 
 	mu        sync.Mutex
@@ -90,7 +102,7 @@
 
 // New returns a Budget.
 func New(c Config) *Budget {
-	b := &Budget{limit: 1 << 62, connections: maxConnections, clients: make(map[netip.Addr]int)}
+	b := &Budget{limit: 1 << 62, connections: maxConnections, process: newProcess(c), clients: make(map[netip.Addr]int)}
 	if c.Bytes > 0 {
 		b.limit = int64(c.Bytes) / 100 * clientPercent
 		b.connections = c.Bytes / 100 * connectionPercent / ConnectionBytes
@@ -99,17 +111,101 @@
 		b.connections = min(b.connections, (c.Descriptors-fileDescriptors)/2)
 	}
 	b.connections = max(1, b.connections)
+	b.unread.limit = 1 << 62
+	if c.Bytes > 0 {
+		// The rest of the memory is what the kernel may hold.
+		b.unread.limit = int64(c.Bytes) - GoLimit(c.Bytes) - codeBytes - int64(b.Backlog())*backlogBytes
+	}
 	return b
 }
 
+// Backlog returns the number of connections that may wait to be accepted.
+func (b *Budget) Backlog() int { return max(1, b.connections/backlogDivisor) }
+
 // MaxConnections returns the number of connections that callers may have in sum, and that
 // one client address may have under pressure.
 func (b *Budget) MaxConnections() (total, perClient int) {
 	return b.connections, max(1, b.connections*sharePercent/100)
 }
 
+// Reserve implements prim.MemoryBudget. Under pressure, transfers that have stopped are given up.
+func (b *Budget) Reserve(n int) bool { return b.reserve(n, b.limit, 0) }
+
+// reserve reserves n bytes up to a limit, so that keep bytes of the process stay free.
+func (b *Budget) reserve(n int, limit, keep int64) bool {
+	reserved := b.process.hasRoom(int64(n), keep) && b.reserveUpTo(n, limit)
+	over := b.used.Load() - b.percent(pressurePercent)
+	if reserved && over <= 0 {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !reserved {
+		b.refused++
+		over = max(over, int64(n))
+	}
+	b.relieve(over, time.Now().Add(-stallTime))
+	return reserved
+}
+
+// Requests returns the budget for requests and frames. Large ones have as much room as bodies,
+// so that ordinary ones are served beside a crowd of large ones.
+func (b *Budget) Requests() prim.MemoryBudget { return requests{b} }
+
+// Connections returns the budget for connections. It doesn't measure the memory in use: new
+// connections must not wait for a garbage collection, or what their clients send is held by the
+// kernel meanwhile. Their number is bounded.
+func (b *Budget) Connections() prim.MemoryBudget { return connections{b} }
+
+type connections struct{ budget *Budget }
+
+// Reserve implements prim.MemoryBudget.
+func (c connections) Reserve(n int) bool { return c.budget.reserveUpTo(n, c.budget.limit) }
+
+// Release implements prim.MemoryBudget.
+func (c connections) Release(n int) { c.budget.Release(n) }
+
+// Unread returns the budget for bytes that the kernel has received for the process and that it
+// doesn't read. They count toward its memory, but not toward that of the Go runtime. Large
+// reservations may take half of it.
+func (b *Budget) Unread() prim.MemoryBudget { return &b.unread }
+
+type unread struct {
+	limit int64
+	used  atomic.Int64
+}
+
 // Reserve implements prim.MemoryBudget.
-func (b *Budget) Reserve(n int) bool { return b.reserveUpTo(n, b.limit) }
+func (u *unread) Reserve(n int) bool {
+	limit := u.limit
+	if n > backlogBytes {
+		limit /= 2
+	}
+	if u.used.Add(int64(n)) > limit {
+		u.used.Add(int64(-n))
+		return false
+	}
+	return true
+}
+
+// Release implements prim.MemoryBudget.
+func (u *unread) Release(n int) { u.used.Add(int64(-n)) }
+
+type requests struct{ budget *Budget }
+
+// Reserve implements prim.MemoryBudget.
+func (r requests) Reserve(n int) bool {
+	if n <= ordinaryBytes {
+		return r.budget.Reserve(n)
+	}
+	return r.budget.reserve(n, r.budget.percent(bodyPercent), r.budget.keptForOrdinary())
+}
+
+// Release implements prim.MemoryBudget.
+func (r requests) Release(n int) { r.budget.Release(n) }
+
+// keptForOrdinary returns the bytes that bodies leave to ordinary requests.
+func (b *Budget) keptForOrdinary() int64 { return b.percent(100 - bodyPercent) }
 
 func (b *Budget) reserveUpTo(n int, limit int64) bool {
 	for {
@@ -134,7 +230,7 @@
 
 // Reserve implements prim.MemoryBudget.
 func (o optional) Reserve(n int) bool {
-	return o.budget.reserveUpTo(n, o.budget.percent(optionalPercent))
+	return o.budget.process.hasRoomNow(int64(n), o.budget.keptForOrdinary()) && o.budget.reserveUpTo(n, o.budget.percent(optionalPercent))
 }
 
 // Release implements prim.MemoryBudget.
@@ -148,6 +244,11 @@
 	// number of those that did not fit in.
 	GivenUp, Refused int64
 	MaxConnections   int
+	// InUse is the memory that the Go runtime has in use, and InUseLimit what it may have; 0
+	// for no limit. Collections counts the garbage collections for lack of room.
+	InUse, InUseLimit, Collections int64
+	// Unread is the sum that is reserved for bytes that are not read, of at most UnreadLimit.
+	Unread, UnreadLimit int64
 }
 
 // Status returns the current state.
@@ -157,6 +258,8 @@
 	return Status{
 		Reserved: b.used.Load(), Limit: b.limit, Transfers: b.transfers.Len(),
 		GivenUp: b.givenUp, Refused: b.refused, MaxConnections: b.connections,
+		InUse: b.process.read(), InUseLimit: b.process.limit, Collections: b.process.collections.Load(),
+		Unread: b.unread.used.Load(), UnreadLimit: b.unread.limit,
 	}
 }
 
--- a/memory/transfer.go
+++ b/memory/transfer.go
@@ -17,6 +17,7 @@
 
 	// Guarded by Budget.mu.
 	held       int           // bytes
+	attached   int           // bytes that are accounted for elsewhere
 	element    *list.Element // in Budget.transfers; nil if not in progress
 	progressAt time.Time     // time of the last step
 	gaveUp     bool
@@ -33,9 +34,24 @@
 	return t
 }
 
+// Attach records n bytes that are accounted for by Budget.Reserve and are returned when the
+// transfer has ended, such as those of its request's header.
+func (t *Transfer) Attach(n int) {
+	t.budget.mu.Lock()
+	defer t.budget.mu.Unlock()
+	t.attach(n)
+}
+
+// attach is Attach with Budget.mu held.
+func (t *Transfer) attach(n int) {
+	t.attached += n
+	t.count(n)
+}
+
 // Reserve accounts for n more bytes of a body. The error is a *FullError.
 func (t *Transfer) Reserve(n int) error {
 	b := t.budget
+	roomy := b.process.hasRoom(int64(n), b.keptForOrdinary())
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if t.gaveUp {
@@ -50,8 +66,12 @@
 		}
 		b.relieve(used-b.percent(pressurePercent), time.Now().Add(-stallTime))
 	}
-	if t.gaveUp || !b.reserveUpTo(n, b.percent(bodyPercent)) {
-		b.relieve(used-b.percent(bodyPercent), t.progressAt)
+	if t.gaveUp || !roomy || !b.reserveUpTo(n, b.percent(bodyPercent)) {
+		over := used - b.percent(bodyPercent)
+		if !roomy {
+			over = max(over, int64(n))
+		}
+		b.relieve(over, t.progressAt)
 		b.refused++
 		return &FullError{RetryAfter: retryAfter}
 	}
@@ -79,9 +99,15 @@
 	t.add(-n)
 }
 
-// add changes the bytes of the transfer and of its client. The caller holds Budget.mu.
+// add changes the bytes that the transfer holds. The caller holds Budget.mu.
 func (t *Transfer) add(n int) {
 	t.held += n
+	t.count(n)
+}
+
+// count changes the bytes of the client, and of the transfers that were given up. The caller
+// holds Budget.mu.
+func (t *Transfer) count(n int) {
 	if t.gaveUp {
 		t.budget.leaving += n
 	}
@@ -100,7 +126,7 @@
 			return
 		}
 		e = e.Next()
-		if t.held == 0 {
+		if t.held+t.attached == 0 {
 			continue
 		}
 		b.end(t)
@@ -129,7 +155,7 @@
 func (b *Budget) end(t *Transfer) {
 	t.gaveUp = true
 	b.givenUp++
-	b.leaving += t.held
+	b.leaving += t.held + t.attached
 	t.leave()
 	t.giveUp()
 }
@@ -186,4 +212,5 @@
 	t.leave()
 	t.budget.Release(t.held)
 	t.add(-t.held)
+	t.attach(-t.attached)
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -97,7 +97,7 @@
 	n := &Node{config: c, log: c.Logger, guard: guard.New(c.Logger), startedAt: time.Now(), instance: prim.NewInstance(), recorder: stats.New(stats.Config{}),
 		checkNow: make(chan struct{}, 1), aheadPeers: make(chan prim.HostName, 1), verifyPeers: make(chan prim.HostName, 1)}
 	n.currentSettings.Store(s)
-	n.memory = memory.New(memory.Config{Bytes: s.MemoryMB << 20, Descriptors: s.MaxFDs})
+	n.memory = memory.New(memory.Config{Bytes: s.MemoryMB << 20, Descriptors: s.MaxFDs, InUse: memory.InUse})
 	n.callsEnded, n.endCalls = context.WithCancel(context.Background())
 	n.store = platform.NewClient(s.Store.String())
 	n.registry = platform.NewRegistry(n.store, n.log)
--- a/mesh/status.go
+++ b/mesh/status.go
@@ -178,6 +178,11 @@
 	}
 	line("MemoryReserved", s.Memory.Reserved)
 	line("MemoryLimit", s.Memory.Limit)
+	line("MemoryInUse", s.Memory.InUse)
+	line("MemoryInUseLimit", s.Memory.InUseLimit)
+	line("MemoryCollections", s.Memory.Collections)
+	line("MemoryUnread", s.Memory.Unread)
+	line("MemoryUnreadLimit", s.Memory.UnreadLimit)
 	line("Transfers", s.Memory.Transfers)
 	line("TransfersGivenUp", s.Memory.GivenUp)
 	line("TransfersRefused", s.Memory.Refused)
