httpd, peers: charge a request for what it takes once it is parsed, before that

Cause: a header block was charged by its bytes, twice those beyond 4 KiB. The parser makes a map entry, a list and two strings of each field, and of each name in a Trailer field: 16 KB took 392 KB to parse (830 KB with a Trailer field). A frame from another node was charged with 2 KiB for its header, whatever that held.

--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -129,16 +129,17 @@
 	if !c.awaitInput() {
 		return nil
 	}
-	r, head, err := c.readRequest()
+	r, head, held, err := c.readRequest()
 	if err != nil {
 		if err != io.EOF && (c.readErr == nil || c.readErr == io.EOF) {
 			c.reject(rejection(err))
 		}
 		return nil
 	}
-	x := newResponse(c, r, head)
+	x := newResponse(c, r, head, held)
 	if !c.admit(x) {
 		x.cancel()
+		c.releaseRequest(held)
 		c.awaitEnd()
 		return nil
 	}
@@ -505,6 +506,9 @@
 		x.dropped = true
 		x.cancel()
 		c.release(x)
+		if x.done {
+			c.releaseRequest(x.held)
+		}
 		x.signal()
 	}
 	c.queue = nil
@@ -549,6 +553,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	x.done = true
+	if x.dropped {
+		c.releaseRequest(x.held)
+	}
 	if !x.front.Load() || x.dropped {
 		return
 	}
@@ -572,6 +579,7 @@
 		last := c.queue[n-1]
 		for _, q := range c.queue[:n] {
 			c.release(q)
+			c.releaseRequest(q.held)
 			q.recycle()
 		}
 		left := copy(c.queue, c.queue[n:])
--- /dev/null
+++ b/httpd/cost.go
@@ -0,0 +1,67 @@
+package httpd
+
+import (
+	"bytes"
+	"errors"
+	"time"
+
+	prim "github.com/primrosethread/primrosethread"
+)
+
+// A request that is small on the wire can be large in memory: the parser makes a map entry, a
+// list and a string of each field, and of each name in a Trailer field. So a request is charged
+// before it is parsed, and until its handler has returned and its response has been written.
+
+const (
+	// memoryRetryAfter is the time after which a client whose request had no room may send it
+	// again: transfers that have stopped are given up by then.
+	memoryRetryAfter = time.Second
+)
+
+var errNoMemory = errors.New("no memory is left for the request; send it again later or with fewer fields")
+
+// parsedBytes returns the memory that a request with this header block takes. Names in a Trailer
+// field count as fields.
+func parsedBytes(head []byte) int {
+	fields := bytes.Count(head, []byte("\n"))
+	for rest := head; len(rest) > 0; {
+		var line []byte
+		line, rest, _ = bytes.Cut(rest, []byte("\n"))
+		if name, value, ok := bytes.Cut(line, []byte(":")); ok && bytes.EqualFold(name, []byte("Trailer")) {
+			fields += bytes.Count(value, []byte(","))
+		}
+	}
+	return prim.RequestCost(len(head), fields)
+}
+
+// holdRequest charges the memory for a request with this header block. If there is none, it
+// waits for the answers to the earlier requests of the connection, which return theirs. It
+// returns 0 if there still is none.
+func (c *conn) holdRequest(head []byte) int {
+	m := c.server.config.Requests
+	if m == nil {
+		return 0
+	}
+	n := parsedBytes(head)
+	if m.Reserve(n) {
+		return n
+	}
+	c.mu.Lock()
+	waited := len(c.queue) > 0 && c.holdUntilAnswered()
+	c.mu.Unlock()
+	if waited && m.Reserve(n) {
+		return n
+	}
+	c.server.count("RequestsWithoutMemory")
+	return 0
+}
+
+// releaseRequest returns what holdRequest has charged.
+func (c *conn) releaseRequest(n int) {
+	if n > 0 {
+		c.server.config.Requests.Release(n)
+	}
+}
+
+// HeldBytes returns the memory that the request of a response is charged for.
+func (x *response) HeldBytes() int { return x.held }
--- a/httpd/parse.go
+++ b/httpd/parse.go
@@ -8,6 +8,8 @@
 	"io"
 	"math"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -28,25 +30,32 @@
 }
 
 // readRequest reads a request whose first byte has been read. The header block is returned
-// as well, valid until the next read. A block that is not yet in the input buffer is read
-// within the header timeout.
-func (c *conn) readRequest() (r *http.Request, head []byte, err error) {
+// as well, valid until the next read, and the memory that was charged for the request. A block
+// that is not yet in the input buffer is read within the header timeout.
+func (c *conn) readRequest() (r *http.Request, head []byte, held int, err error) {
 	limits := c.server.limits()
 	c.remain = max(0, limits.MaxHeaderBytes+headerSlack-c.in.Buffered())
 	head, _ = c.in.Peek(c.in.Buffered())
 	if !isComplete(head) {
 		head = c.readHead(limits.HeaderTimeout)
 	}
+	if held = c.holdRequest(head); held == 0 && c.server.config.Requests != nil {
+		return nil, nil, 0, errNoMemory
+	}
 	r, err = http.ReadRequest(c.in)
+	if err != nil && c.remain <= 0 {
+		err = &statusError{code: http.StatusRequestHeaderFieldsTooLarge}
+	}
+	if err == nil {
+		c.remain = math.MaxInt
+		c.afterPost = r.Method == http.MethodPost
+		err = checkRequest(r, head)
+	}
 	if err != nil {
-		if c.remain <= 0 {
-			err = &statusError{code: http.StatusRequestHeaderFieldsTooLarge}
-		}
-		return nil, nil, err
+		c.releaseRequest(held)
+		return nil, nil, 0, err
 	}
-	c.remain = math.MaxInt
-	c.afterPost = r.Method == http.MethodPost
-	return r, head, checkRequest(r, head)
+	return r, head, held, nil
 }
 
 // isComplete reports whether a whole header block is at the beginning of b.
@@ -61,6 +70,10 @@
 	ahead := true
 	for whole := true; ; {
 		line, err := c.in.ReadSlice('\n')
+		if free := cap(head) - len(head); free < len(line) {
+			// Doubled, since the smaller steps of append leave several times the size as garbage.
+			head = slices.Grow(head, max(2*cap(head), len(line)))
+		}
 		head = append(head, line...)
 		if err != nil && err != bufio.ErrBufferFull || err == nil && whole && isBlank(line) {
 			break
@@ -209,6 +222,9 @@
 			line += ": " + status.text
 		}
 		return "HTTP/1.1 " + line + fields + line
+	case errors.Is(err, errNoMemory):
+		return "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + strconv.FormatFloat(memoryRetryAfter.Seconds(), 'f', 3, 64) +
+			"\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 	case isUnsupportedEncoding(err):
 		return "HTTP/1.1 501 Not Implemented" + fields + "Unsupported transfer encoding"
 	}
--- a/httpd/response.go
+++ b/httpd/response.go
@@ -36,6 +36,7 @@
 	request    *http.Request
 	cancel     context.CancelFunc
 	body       *body // nil if the request has none
+	held       int   // bytes that the request is charged for until it has left the queue and the handler has returned
 	concurrent bool  // may run beside others
 	keep10     bool  // HTTP/1.0 with Connection: keep-alive
 	wantsClose bool  // the client asked for the connection to be closed
@@ -67,9 +68,10 @@
 	turn     chan struct{}
 }
 
-// newResponse returns the response to a request with this header block.
-func newResponse(c *conn, r *http.Request, head []byte) *response {
-	x := &response{conn: c, header: make(http.Header), length: -1, wantsClose: r.Close}
+// newResponse returns the response to a request with this header block, for which held bytes
+// are charged.
+func newResponse(c *conn, r *http.Request, head []byte, held int) *response {
+	x := &response{conn: c, header: make(http.Header), length: -1, wantsClose: r.Close, held: held}
 	ctx, cancel := context.WithCancel(c.ctx)
 	x.cancel = cancel
 	r.RemoteAddr = c.remoteAddr
@@ -637,10 +639,12 @@
 	from     io.ReadCloser
 	expected bool // the client waits for 100 Continue
 
-	mu     sync.Mutex
-	left   int64 // bytes; -1 if unknown
-	ended  bool  // read to the end
-	closed bool  // reading it has no effect any more
+	mu      sync.Mutex
+	got     int   // bytes that were read
+	widened int   // bytes charged for the receive buffer
+	left    int64 // bytes; -1 if unknown
+	ended   bool  // read to the end
+	closed  bool  // reading it has no effect any more
 }
 
 // Read implements io.Reader. After the end of the body, the connection reads on.
--- a/httpd/server.go
+++ b/httpd/server.go
@@ -34,6 +34,9 @@
 	// Memory accounts for the requests that are read ahead and for their responses; no
 	// limit but those of each connection if nil.
 	Memory prim.MemoryBudget
+	// Requests accounts for requests, before they are parsed. One that finds no room gets 503.
+	// There is no limit if it is nil.
+	Requests prim.MemoryBudget
 	// Limits returns the limits in force. It may be nil, and fields that are zero have
 	// defaults. MaxBodyBytes is left to the handler.
 	Limits func() prim.ClientLimits
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -12,6 +12,8 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -116,7 +118,7 @@
 		IncomingSample: n.observeSample,
 		Logger:         n.log,
 		Guard:          n.guard,
-		Memory:         n.memory,
+		Memory:         n.memory.Requests(),
 		// Dialling a host that lost power has to fail quickly.
 		DialTimeout: dialTimeout,
 	})
@@ -308,7 +310,7 @@
 // callsEnded.
 func (n *Node) callerServer() *httpd.Server {
 	return httpd.New(httpd.Config{
-		Handler: conns.Handler(n.trackCalls(n.handler)), Concurrent: n.handler.Concurrent, Limits: n.clientLimits, Memory: n.memory.Optional(),
+		Handler: conns.Handler(n.trackCalls(n.handler)), Concurrent: n.handler.Concurrent, Limits: n.clientLimits, Memory: n.memory.Optional(), Requests: n.memory.Requests(),
 		ConnState:   conns.Track,
 		ConnContext: func(_ context.Context, c net.Conn) context.Context { return conns.Context(n.callsEnded, c) },
 		Logger:      n.log, Recorder: n.recorder,
@@ -323,6 +325,11 @@
 
 // recordRejection records a response that the server sent without calling the handler.
 func (n *Node) recordRejection(client net.Addr, response string) {
+	if strings.HasPrefix(response, strconv.Itoa(http.StatusServiceUnavailable)) {
+		n.recorder.Count("RejectedWithoutMemory", 1)
+		n.log.Info("request rejected for lack of memory", "Client", client.String(), "Response", response)
+		return
+	}
 	n.recorder.Count("RejectedAsMalformed", 1)
 	n.log.Info("request rejected as malformed", "Client", client.String(), "Response", response)
 }
--- a/peers/accept.go
+++ b/peers/accept.go
@@ -110,17 +110,17 @@
 	case wire.BodyPart:
 		return l.addBodyPart(h, body)
 	case wire.Dispatch, wire.Reserve, wire.Commit, wire.Ask:
-		if h.Type == wire.Dispatch && h.More {
-			return l.startBody(ctx, *h)
-		}
-		held, ok := l.holdFrame(ctx, h.Type, len(body))
+		held, ok := l.holdFrame(ctx, h, len(body))
 		if !ok {
 			l.refuseBusy(h.ID)
 			return nil
 		}
+		if h.Type == wire.Dispatch && h.More {
+			return l.startBody(ctx, *h, held)
+		}
 		return l.startCall(ctx, *h, append([]byte(nil), body...), held)
 	case wire.Tell:
-		held, ok := l.holdFrame(ctx, h.Type, len(body))
+		held, ok := l.holdFrame(ctx, h, len(body))
 		if !ok {
 			return nil // Tell does not guarantee delivery
 		}
--- a/peers/bodies.go
+++ b/peers/bodies.go
@@ -243,6 +243,7 @@
 
 	mu     sync.Mutex
 	buffer bodyBuffer
+	frame  heldFrame // of the header
 }
 
 // add appends a part and reports whether the body is complete.
@@ -256,24 +257,31 @@
 func (b *incomingBody) release() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !b.buffer.released {
+		b.frame.release()
+	}
 	b.buffer.release()
 }
 
-// startBody begins to collect the body of a request. An error closes the link.
-func (l *inboundLink) startBody(ctx context.Context, h wire.Header) error {
+// startBody begins to collect the body of a request, whose header is charged as held. An error
+// closes the link.
+func (l *inboundLink) startBody(ctx context.Context, h wire.Header, held heldFrame) error {
 	if h.BodyTotal <= 0 || h.BodyTotal > prim.MaxRequestBody {
+		held.release()
 		return &wire.FrameError{Problem: "length of the body out of range", Cause: fmt.Errorf("%d of %d bytes", h.BodyTotal, prim.MaxRequestBody)}
 	}
 	if h.Instance != l.peers.config.Instance {
+		held.release()
 		l.runSoon(func() { l.refuse(h.ID, prim.ReasonOtherInstance) })
 		return nil
 	}
 	now := time.Now()
 	ctx, cancel, ok, err := l.beginCall(ctx, &h, now)
 	if !ok {
+		held.release()
 		return err
 	}
-	b := &incomingBody{ctx: ctx, cancel: cancel, header: h, receivedAt: now, buffer: bodyBuffer{memory: l.peers.config.Memory, total: h.BodyTotal}}
+	b := &incomingBody{ctx: ctx, cancel: cancel, header: h, receivedAt: now, buffer: bodyBuffer{memory: l.peers.config.Memory, total: h.BodyTotal}, frame: held}
 	l.callMu.Lock()
 	defer l.callMu.Unlock()
 	l.bodies[h.ID] = b
--- a/peers/memory.go
+++ b/peers/memory.go
@@ -14,8 +14,8 @@
 // side is slowed down; then the call is refused, which tells its sender to go elsewhere.
 
 const (
-	// frameOverhead is accounted for each frame besides its body: the header and the call.
-	frameOverhead = 2 << 10
+	// controlOverhead is accounted for each control message besides its body.
+	controlOverhead = 2 << 10
 	// heldFrameWait is how long a link is not read for lack of memory. It is far below the
 	// time after which the other side closes a silent link.
 	heldFrameWait = 50 * time.Millisecond
@@ -37,13 +37,25 @@
 
 func (f heldFrame) release() { f.memory.Release(f.bytes) }
 
+// frameCost returns the memory that a frame with such a body takes until its call ends.
+func frameCost(h *wire.Header, bodyBytes int) int {
+	if h.Type != wire.Dispatch && h.Type != wire.Reserve {
+		return bodyBytes + controlOverhead
+	}
+	headerBytes := len(h.Path)
+	for _, text := range h.HTTPFields {
+		headerBytes += len(text)
+	}
+	return bodyBytes + prim.RequestCost(headerBytes, len(h.HTTPFields)/2)
+}
+
 // holdFrame reserves memory for a frame, and waits if none is left. It returns false if there
 // is none after heldFrameWait.
-func (l *inboundLink) holdFrame(ctx context.Context, t wire.Type, bodyBytes int) (heldFrame, bool) {
-	if (t == wire.Ask || t == wire.Tell || t == wire.Commit) && bodyBytes <= smallControlBytes {
+func (l *inboundLink) holdFrame(ctx context.Context, h *wire.Header, bodyBytes int) (heldFrame, bool) {
+	if (h.Type == wire.Ask || h.Type == wire.Tell || h.Type == wire.Commit) && bodyBytes <= smallControlBytes {
 		return heldFrame{unbounded{}, 0}, true
 	}
-	f := heldFrame{l.peers.config.Memory, bodyBytes + frameOverhead}
+	f := heldFrame{l.peers.config.Memory, frameCost(h, bodyBytes)}
 	if f.memory.Reserve(f.bytes) {
 		return f, true
 	}
--- a/peers/memory_test.go
+++ b/peers/memory_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"sync"
@@ -113,3 +115,63 @@
 	is.NoErr(err)
 	<-released
 }
+
+// Guards against frames with many header fields that are charged by their bytes alone: each
+// takes some twenty times as much at a node that waits for its server.
+func TestFieldsOfFramesAreCharged(t *testing.T) {
+	is := is.New(t)
+	const fields, calls = 1000, 40
+	budget := memory.New(memory.Config{Bytes: 10 << 20}) // 5.5 MiB for clients
+	f := newFleet()
+	release := make(chan struct{})
+	releaseAll := sync.OnceFunc(func() { close(release) })
+	var running atomic.Int64
+	b, err := peers.New(peers.Config{
+		Self: "b", Instance: prim.NewInstance(), Key: key, Resolve: f.resolve, Memory: budget,
+		Local: &fakeOwner{run: func(ctx context.Context, r *prim.Request) (*prim.Answer, error) {
+			running.Add(1)
+			<-release
+			return echo(ctx, r)
+		}},
+	})
+	is.NoErr(err)
+	s := httptest.NewServer(b.Handler())
+	t.Cleanup(func() {
+		releaseAll()
+		b.Close()
+		s.Close()
+	})
+	f.addrs["b"] = netip.MustParseAddrPort(s.Listener.Addr().String())
+	a := f.start(t, "a", key, nil)
+	results := make(chan error, calls)
+	for range calls {
+		go func() {
+			r := request("/x")
+			r.Header = make(http.Header)
+			for i := range fields {
+				r.Header[fmt.Sprintf("X%d", i)] = []string{"1"}
+			}
+			_, err := a.Owner("b").Dispatch(t.Context(), r)
+			results <- err
+		}()
+	}
+	refused := 0
+	for refused+int(running.Load()) < calls {
+		select {
+		case err := <-results:
+			is.Equal(prim.OutcomeOf(err), prim.NotRun)
+			refused++
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	is.True(refused > 0)
+	is.True(running.Load() > 0)
+	is.True(budget.Status().Reserved >= running.Load()*int64(prim.RequestCost(0, fields)))
+	releaseAll()
+	for range calls - refused {
+		is.NoErr(<-results)
+	}
+	for budget.Status().Reserved > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
