httpd: discard trailers instead of parsing them

Cause: net/http parses the trailers of a chunked body, up to 4 KiB, into a map that is kept as long as the request, and that nobody charged. Nothing uses them: they are not sent on to a server.

Change: the body's end is read by httpd. Each line of the trailers has to have the name of a field, as before, and is discarded.

Evidence: TestTrailersAreDiscarded is new.

--- a/httpd/cost.go
+++ b/httpd/cost.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"net/http"
 	"time"
 
 	prim "github.com/primrosethread/primrosethread"
@@ -65,3 +66,6 @@
 
 // HeldBytes returns the memory that the request of a response is charged for.
 func (x *response) HeldBytes() int { return x.held }
+
+// isChunked reports whether the body of a request is chunked.
+func isChunked(r *http.Request) bool { return len(r.TransferEncoding) > 0 }
--- a/httpd/cost_test.go
+++ b/httpd/cost_test.go
@@ -105,3 +105,38 @@
 		}
 	}
 }
+
+// Guards against trailers that are parsed into many times their size, that are kept, or whose
+// end is taken for the next request.
+func TestTrailersAreDiscarded(t *testing.T) {
+	is := is.New(t)
+	const head = "POST / HTTP/1.1\r\nHost: a\r\nTrailer: A\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n"
+	_, address := startServer(t, Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b, err := io.ReadAll(r.Body)
+		fmt.Fprintf(w, "%s, %d trailers, %v", b, len(r.Trailer), err)
+	})})
+	for trailers, want := range map[string]string{
+		"\r\n":                              "abc, 0 trailers, <nil>",
+		"A: b\r\n\r\n":                      "abc, 0 trailers, <nil>",
+		"A: b\r\n c\r\nD:\r\n\r\n":          "abc, 0 trailers, <nil>",
+		shortFields(3900, "1") + "\r\n":     "abc, 0 trailers, <nil>",
+		shortFields(5000, "1") + "\r\n":     "abc, 0 trailers, " + errLongTrailers.Error(),
+		"A\r\n\r\n":                         "abc, 0 trailers, " + errMalformedTrailers.Error(),
+		" A: b\r\n\r\n":                     "abc, 0 trailers, " + errMalformedTrailers.Error(),
+		"A : b\r\n\r\n":                     "abc, 0 trailers, " + errMalformedTrailers.Error(),
+		"GET / HTTP/1.1\r\nHost: a\r\n\r\n": "abc, 0 trailers, " + errMalformedTrailers.Error(),
+	} {
+		c := dial(t, address)
+		io.WriteString(c, head+trailers)
+		body, last, err := c.receive()
+		is.NoErr(err)
+		is.Equal(body, want)
+		is.Equal(last, !strings.HasSuffix(want, "<nil>"))
+		if !last {
+			c.send("/next")
+			body, _, err = c.receive()
+			is.NoErr(err)
+			is.Equal(body, ", 0 trailers, <nil>")
+		}
+	}
+}
--- a/httpd/response.go
+++ b/httpd/response.go
@@ -86,6 +86,9 @@
 		x.keep10 = hasToken(r.Header.Get("Connection"), "keep-alive")
 	}
 	expect := r.Header["Expect"]
+	if isChunked(r) {
+		r.Body, r.Trailer = newChunkedBody(c.in), nil
+	}
 	if r.Body != nil && r.Body != http.NoBody {
 		x.body = &body{response: x, from: r.Body, left: r.ContentLength, expected: len(expect) > 0 && hasToken(expect[0], "100-continue") && r.ProtoAtLeast(1, 1)}
 		r.Body = x.body
