httpd, conns: bound and charge what the kernel holds of unread bytes

Callers saw: a process whose memory counts with the bytes that it has received and not read, as DEPLOY.md says, went over it when clients sent many requests on each connection.

Cause: the kernel lets a receive buffer grow to several megabytes, and 4,096 connections wait to be accepted with what their clients send. The node reads no further while the next request may not run beside those in front of it.

Change: receive buffers are bounded to 96 KiB, and to 512 KiB for bodies over 64 KiB if there is room. A connection that isn't read is charged; without room, the responses to the requests in progress are its last ones. An eighth of the connections may wait to be accepted. New connections don't wait for a garbage collection.

TestUnreadBytesAreCharged is new.

--- a/conns/bounds.go
+++ b/conns/bounds.go
@@ -25,6 +25,9 @@
 	// MaxOpen is the number of open connections, and MaxPerClient that of one client
 	// address when most of MaxOpen are open.
 	MaxOpen, MaxPerClient int
+	// Backlog is the number of connections that may wait to be accepted. The kernel holds what
+	// their clients send meanwhile.
+	Backlog int
 	// EndStopped ends at most n requests or answers that make no progress, so that their
 	// connections become free. It is called if no connection is without a request; it may
 	// be nil.
@@ -76,6 +79,20 @@
 	return netip.Addr{}
 }
 
+// limitBacklog sets the number of connections that may wait to be accepted.
+func (l *Listener) limitBacklog() error {
+	if l.bounds.Backlog == 0 {
+		return nil
+	}
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var listenErr error
+	err = raw.Control(func(fd uintptr) { listenErr = syscall.Listen(int(fd), l.bounds.Backlog) })
+	return errors.Join(err, listenErr)
+}
+
 // makeRoom reserves the cost of a new connection. If there are too many, it closes those
 // that have been without a request for longest, and returns false if there are none.
 func (l *Listener) makeRoom(c *conn) bool {
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -56,7 +56,10 @@
 
 // New returns a Listener.
 func New(c Config) *Listener {
-	return &Listener{TCPListener: c.Listener, onReject: c.OnReject, bounds: c.Bounds, open: make(map[*conn]bool), clients: make(map[netip.Addr]int)}
+	l := &Listener{TCPListener: c.Listener, onReject: c.OnReject, bounds: c.Bounds, open: make(map[*conn]bool), clients: make(map[netip.Addr]int)}
+	// If it fails, the listener keeps the backlog that it was opened with.
+	_ = l.limitBacklog()
+	return l
 }
 
 // Track records the state of a connection. It is an http.Server.ConnState function.
--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -104,6 +104,7 @@
 	}
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	c.in = bufio.NewReader(source{c})
+	c.setReceiveBuffer(receiveBytes)
 	c.idleUntil = c.acceptedAt.Add(s.limits().HeaderTimeout)
 	return c
 }
@@ -289,7 +290,9 @@
 		if c.ending || c.departed {
 			return false
 		}
-		c.hold()
+		if !c.holdUnread() {
+			return false
+		}
 	}
 	c.queue = append(c.queue, x)
 	if len(c.queue) == 1 {
@@ -360,6 +363,25 @@
 	}
 }
 
+// holdUnread is hold with a charge for what the client can send meanwhile. If there is no memory
+// for it, it doesn't wait: the responses in the queue are the last ones of the connection, and it
+// returns false. The caller holds c.mu, and the queue is not empty.
+func (c *conn) holdUnread() bool {
+	m := c.server.config.Unread
+	if m == nil {
+		c.hold()
+		return true
+	}
+	if !m.Reserve(unreadBytes) {
+		c.server.count("UnreadWithoutMemory")
+		c.ending, c.last = true, c.queue[len(c.queue)-1]
+		return false
+	}
+	c.hold()
+	m.Release(unreadBytes)
+	return true
+}
+
 // watch waits until wake is called, or the client has closed the connection. Without a
 // descriptor, the latter is not noticed.
 func (c *conn) watch() (departed bool) {
@@ -387,8 +409,7 @@
 // more is to be read. The caller holds c.mu, which is not held while waiting.
 func (c *conn) holdUntilAnswered() bool {
 	held := false
-	for len(c.queue) > 0 && !c.ending && !c.departed {
-		c.hold()
+	for len(c.queue) > 0 && !c.ending && !c.departed && c.holdUnread() {
 		held = true
 	}
 	if c.ending || c.departed {
--- a/httpd/cost_test.go
+++ b/httpd/cost_test.go
@@ -106,6 +106,40 @@
 	}
 }
 
+// Guards against a client that goes on sending while the connection isn't read, whose bytes
+// the kernel holds for the process without a charge, and against a connection that stays open
+// for a client whose requests are no longer read.
+func TestUnreadBytesAreCharged(t *testing.T) {
+	for name, limit := range map[string]int{"room": unreadBytes, "no room": unreadBytes - 1} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			budget := &fakeBudget{limit: limit}
+			g := newGates()
+			_, address := startServer(t, Config{Unread: budget, Handler: g}) // one request after the other
+			c := dial(t, address)
+			c.send("/1", "/2")
+			is.Equal(take(g.started, 1), []string{"/1"})
+			if name == "room" {
+				for budget.inUse() < unreadBytes {
+					time.Sleep(time.Millisecond)
+				}
+				close(g.gate("/2"))
+			}
+			time.Sleep(20 * time.Millisecond)
+			close(g.gate("/1"))
+			_, _, err := c.receive()
+			is.NoErr(err)
+			_, _, err = c.receive()
+			is.Equal(err == nil, name == "room")
+			if name == "no room" {
+				is.True(err == io.EOF || err == io.ErrUnexpectedEOF) // closed, not reset
+			}
+			c.Close()
+			awaitFree(t, budget)
+		})
+	}
+}
+
 // Guards against trailers that are parsed into many times their size, that are kept, or whose
 // end is taken for the next request.
 func TestTrailersAreDiscarded(t *testing.T) {
--- a/httpd/response.go
+++ b/httpd/response.go
@@ -675,6 +675,13 @@
 	if b.left >= 0 {
 		b.left -= int64(n)
 	}
+	if b.got < longBody && b.got+n >= longBody {
+		b.widen()
+	}
+	b.got += n
+	if err != nil {
+		b.narrow()
+	}
 	if err == io.EOF {
 		b.ended = true
 		b.response.conn.resumeReading()
@@ -720,6 +727,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.closed = true
+	b.narrow()
 	return b.ended
 }
 
--- a/httpd/server.go
+++ b/httpd/server.go
@@ -37,6 +37,10 @@
 	// Requests accounts for requests, before they are parsed. One that finds no room gets 503.
 	// There is no limit if it is nil.
 	Requests prim.MemoryBudget
+	// Unread accounts for what clients send while their connections aren't read. A connection
+	// that finds no room is closed after the responses to the requests that are in progress.
+	// There is no limit if it is nil.
+	Unread prim.MemoryBudget
 	// Limits returns the limits in force. It may be nil, and fields that are zero have
 	// defaults. MaxBodyBytes is left to the handler.
 	Limits func() prim.ClientLimits
--- a/mesh/clients.go
+++ b/mesh/clients.go
@@ -17,8 +17,8 @@
 func (n *Node) connectionBounds() conns.Bounds {
 	total, perClient := n.memory.MaxConnections()
 	return conns.Bounds{
-		Limits: n.clientLimits, Memory: n.memory, ConnectionBytes: memory.ConnectionBytes,
-		MaxOpen: total, MaxPerClient: perClient, OnPressure: n.recordPressure(),
+		Limits: n.clientLimits, Memory: n.memory.Connections(), ConnectionBytes: memory.ConnectionBytes,
+		MaxOpen: total, MaxPerClient: perClient, Backlog: n.memory.Backlog(), OnPressure: n.recordPressure(),
 		EndStopped: func(count int) { n.memory.GiveUpStopped(count) },
 	}
 }
