peers: build a long frame when its link is free, and charge it

Cause: each request for another node encoded its frame, with a copy of its body, and then waited for the link. With many callers each body was held twice, and only one copy was charged.

Change: a frame with a body over 16 KiB is built by the caller that has the link, and that of a request is charged until it is written. Without memory the request is refused and has not run. Answers are charged by package server for both copies already.

Evidence: the package's tests pass.

--- a/peers/link.go
+++ b/peers/link.go
@@ -79,13 +79,15 @@
 // if it fails the link is closed. If sent is false, nothing of the frame was written; if
 // it is true, the frame may still arrive whatever err is.
 func (l *link) writeFrame(ctx context.Context, h *wire.Header, body []byte) (sent bool, err error) {
+	if len(body) > maxPieceBytes {
+		return l.writeLongBody(ctx, h, body)
+	}
 	buf := frameBuffers.Get().(*[]byte)
 	*buf, err = wire.Append((*buf)[:0], h, body)
-	if err != nil {
-		releaseBuffer(buf)
-		return false, err
+	if err == nil {
+		err = l.acquireWriteSem(ctx)
 	}
-	if err := l.acquireWriteSem(ctx); err != nil {
+	if err != nil {
 		releaseBuffer(buf)
 		return false, err
 	}
@@ -93,12 +95,45 @@
 		defer l.releaseWriteSem()
 		return true, l.writeBuffer(buf)
 	}
+	return l.writeLong(ctx, buf, 0)
+}
+
+// writeLongBody is writeFrame for a body longer than one piece. The frame is built when the link
+// is free, so that the calls that wait for the link hold no second copy of their bodies, and is
+// charged if it is a request. The copies of answers are charged by package server.
+func (l *link) writeLongBody(ctx context.Context, h *wire.Header, body []byte) (sent bool, err error) {
+	if err := l.acquireWriteSem(ctx); err != nil {
+		return false, err
+	}
+	held := 0
+	if h.Type == wire.Dispatch || h.Type == wire.Reserve {
+		held = len(body)
+		if !l.peers.config.Memory.Reserve(held) {
+			l.releaseWriteSem()
+			return false, errNoMemory
+		}
+	}
+	buf := frameBuffers.Get().(*[]byte)
+	if *buf, err = wire.Append((*buf)[:0], h, body); err != nil {
+		releaseBuffer(buf)
+		l.peers.config.Memory.Release(held)
+		l.releaseWriteSem()
+		return false, err
+	}
+	return l.writeLong(ctx, buf, held)
+}
+
+// writeLong writes a frame longer than one piece, for which held bytes are charged, and returns
+// early if the context ends. The caller holds writeSem, which writeLong releases.
+func (l *link) writeLong(ctx context.Context, buf *[]byte, held int) (sent bool, err error) {
 	l.writingLong.Store(true)
 	written := make(chan error, 1)
 	go func() { // shutDown waits for its end
 		defer l.releaseWriteSem()
 		defer l.writingLong.Store(false)
-		written <- l.writeBuffer(buf)
+		err := l.writeBuffer(buf)
+		l.peers.config.Memory.Release(held)
+		written <- err
 	}()
 	select {
 	case err := <-written:
--- a/peers/remote.go
+++ b/peers/remote.go
@@ -54,7 +54,9 @@
 	h.ID = c.id
 	h.Instance = l.instance
 	if sent, err := l.writeFrame(ctx, &h, r.Body); err != nil {
-		o.failCall(l, c, sent, err)
+		if failed := o.failCall(l, c, sent, err); errors.Is(err, errNoMemory) {
+			return nil, failed
+		}
 		refusal := &prim.RefusalError{Reason: prim.ReasonUnreachable, Host: o.host}
 		if sent && ctx.Err() != nil {
 			refusal.Reason = prim.ReasonExpired
@@ -107,6 +109,9 @@
 func (o *remoteOwner) failCall(l *link, c *call, sent bool, err error) error {
 	if !sent {
 		l.dropCall(c)
+		if errors.Is(err, errNoMemory) {
+			return o.refuseLarge()
+		}
 		return &prim.RefusalError{Reason: prim.ReasonUnreachable, Host: o.host}
 	}
 	l.cancelCall(c)
