--- /dev/null
+++ b/review/13/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Runs the case unsealed of review/standin-3. See claim.txt.
+cd "$(dirname "$0")/../.." || exit 2
+exec target/review-3 unsealed review/13/record.txt
