--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Runs the case unsealed of review/standin-3. See claim.txt.
+# Runs the case unsaid of review/standin-3. See claim.txt.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-3 unsealed review/13/record.txt
+exec target/review-3 unsaid review/13/record.txt
