--- a/review/standin-3/spoiled.go
+++ b/review/standin-3/spoiled.go
@@ -58,7 +58,7 @@
 		}
 		d.record.event("the servers are well again")
 	})
-	return load(140, lead+length+tail, next)
+	return load(190, lead+length+tail, next)
 }
 
 // clients returns one client for each machine.
@@ -87,7 +87,7 @@
 	}
 	const page = "<html><body>Service is starting</body></html>"
 	clients := d.clients()
-	results := d.spoilDuring(count, 0.05, 5*time.Second, func(_ *http.Request, id string) []byte {
+	results := d.spoilDuring(count, 0.02, 5500*time.Millisecond, func(_ *http.Request, id string) []byte {
 		return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nContent-Type: text/html\r\nContent-Length: %d\r\n\r\n%s", id, len(page), page)
 	}, func(i int) (*client, request) {
 		return clients[i%len(clients)], request{method: "GET", host: authority, target: "/slots/" + randomHex(3), deadline: 500 * time.Millisecond}
@@ -121,7 +121,7 @@
 		count = 0
 	}
 	clients := d.clients()
-	results := d.spoilDuring(count, 0.45, 6500*time.Millisecond, func(_ *http.Request, id string) []byte {
+	results := d.spoilDuring(count, 0.4, 6500*time.Millisecond, func(_ *http.Request, id string) []byte {
 		const text = "the tide table did not answer\n"
 		return fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(text), text)
 	}, func(i int) (*client, request) {
@@ -165,7 +165,7 @@
 		count = 0
 	}
 	clients := d.clients()
-	results := d.spoilDuring(count, 0.45, 6500*time.Millisecond, func(_ *http.Request, id string) []byte {
+	results := d.spoilDuring(count, 0.4, 6500*time.Millisecond, func(_ *http.Request, id string) []byte {
 		const text = "the tide table: 421 Misdirected Request\n"
 		return fmt.Appendf(nil, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(text), text)
 	}, func(i int) (*client, request) {
