--- a/review/standin-3/trailers.go
+++ b/review/standin-3/trailers.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return exitNotRun, err
 	}
-	before := d.mixedLoad(5 * time.Second)
+	before := d.mixedLoad(3 * time.Second)
 	rec.event("before: %s", before)
 	trailers := "A: b\r\nC: d\r\n\r\n"
 	if trouble {
@@ -48,13 +48,16 @@
 	for _, m := range d.machines {
 		rec.event("memory of the node at %s: %s", m.ip, m.memory())
 	}
-	after := d.mixedLoad(15 * time.Second)
+	after := d.mixedLoad(45 * time.Second)
 	rec.event("after: %s", after)
 	if before.shareOf("unsafe") < 0.9 || before.shareOf("safe") < 0.9 {
 		return exitNotRun, fmt.Errorf("the deployment does not serve before the disruption: %s", before)
 	}
-	broken := after.shareOf("unsafe") < after.shareOfAll()/4
-	return rec.verdict(broken, "Starved: %v after the last hostile request, the share of requests served is %.3f of the unsafe kind and %.3f of all", rest, after.shareOf("unsafe"), after.shareOfAll()), nil
+	// The rule is about a whole day, so what was served before the crowd counts as well.
+	day := mixedResults{"safe": append(before["safe"], after["safe"]...), "unsafe": append(before["unsafe"], after["unsafe"]...)}
+	broken := day.shareOf("unsafe") < day.shareOfAll()/4
+	return rec.verdict(broken, "Starved: over the whole run the share of requests served is %.3f of the unsafe kind and %.3f of all; from %v after the crowd on %.3f and %.3f",
+		day.shareOf("unsafe"), day.shareOfAll(), rest, after.shareOf("unsafe"), after.shareOfAll()), nil
 }
 
 // sendHostile sends requests with chunked bodies and the given trailers to the node of a machine.
@@ -67,7 +70,9 @@
 		for range crowd.requests {
 			turns <- struct{}{}
 			wait.Go(func() {
-				ending := sendChunked(m.outbound(), crowd.chunks, crowd.chunkBytes, trailers)
+				id := randomHex(8)
+				ending := sendChunked(m.outbound(), id, crowd.chunks, crowd.chunkBytes, trailers)
+				d.record.event("hostile  %s to %s: %d chunks of %d bytes, trailers %q: %s", id, m.ip, crowd.chunks, crowd.chunkBytes, trailers, ending)
 				mu.Lock()
 				endings[ending]++
 				mu.Unlock()
@@ -80,7 +85,7 @@
 }
 
 // sendChunked sends one request with a chunked body and returns how it ended.
-func sendChunked(address string, chunks, chunkBytes int, trailers string) string {
+func sendChunked(address, id string, chunks, chunkBytes int, trailers string) string {
 	c, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return "no connection"
@@ -88,7 +93,7 @@
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(5 * time.Second))
 	chunk := fmt.Sprintf("%x\r\n%s\r\n", chunkBytes, strings.Repeat("x", chunkBytes))
-	io.WriteString(c, fmt.Sprintf("POST /hold/x HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 5000\r\nTransfer-Encoding: chunked\r\n\r\n", authority, randomHex(8)))
+	io.WriteString(c, fmt.Sprintf("POST /hold/x HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 5000\r\nTransfer-Encoding: chunked\r\n\r\n", authority, id))
 	for range chunks {
 		io.WriteString(c, chunk)
 	}
