--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -132,18 +132,18 @@
 		},
 	})
 	n.client = server.New(server.Config{Host: s.Host, Address: s.Server, OmitNodeHeaders: true,
-		Match: platform.MatchAnswer, IdleTimeout: serverIdle, Memory: n.memory.Optional(), HeaderMemory: n.memory.Requests(),
-		OnBrokenAnswer: func(err *prim.BrokenAnswerError) { n.recordBrokenAnswer(s.Host, n.admitter.ServerID(), err) }})
+		Match: platform.MatchAnswer, Buffers: platform.BuffersAnswer, IdleTimeout: serverIdle, Memory: n.memory.Optional(), HeaderMemory: n.memory.Requests(),
+		OnBrokenAnswer: n.recordOwnBrokenAnswer})
 	n.server = platform.NewServer(platform.ServerConfig{
 		Host: s.Host, Client: n.client, ServerID: n.admitter.ServerID, AnswerBy: n.serverAnswersBy, OnReport: n.applyAnswerReport,
-		OnLeaving: func(leaving bool) { n.setLeaveReason(leaveServer, leaving) }, Logger: n.log,
+		OnLeaving: func(leaving bool) { n.setLeaveReason(leaveServer, leaving) }, OnBrokenAnswer: n.recordOwnBrokenAnswer, Logger: n.log,
 		NeedsKeys: func() bool { return n.roster.Placement().Routing.NeedsKeys() },
 	})
 	n.peers.SetLocal(owner.New(owner.Config{Host: s.Host, Server: checkOnFailure{n}, Admitter: n.admitter}))
 	n.peers.Handle(roster.KindState, n.roster.Handle)
 	n.relay = relay.New(relay.Config{
 		Host: s.Host, DataCentre: s.DataCentre, Placements: n.roster, Owners: n.peers, Links: n.peers,
-		Recorder: n.recorder, Logger: n.log, Budget: n.retryBudget, AnswerBy: n.answersBy, Region: n.region,
+		Recorder: n.recorder, Logger: n.log, Budget: n.retryBudget, AnswerBy: n.answersBy, CheckAnswer: n.checkAnswer, Region: n.region,
 		DataCentreDelay: dataCentreDelay, RegionDelay: regionDelay, LinkCostPerKB: linkCostPerKB,
 	})
 	n.shares = quota.NewShares(quota.SharesConfig{
@@ -342,6 +342,22 @@
 	n.log.Warn("broken answer", "Host", h, "Server", id, "Error", err)
 }
 
+// recordOwnBrokenAnswer records an invalid answer of this host's server.
+func (n *Node) recordOwnBrokenAnswer(err *prim.BrokenAnswerError) {
+	n.recordBrokenAnswer(n.config.Settings.Host, n.admitter.ServerID(), err)
+}
+
+// checkAnswer checks an answer that came from the owner at a host, and records it if it is
+// not that of the host's server.
+func (n *Node) checkAnswer(h prim.HostName, a *prim.Answer) error {
+	err := platform.CheckAnswer(h, a)
+	var broken *prim.BrokenAnswerError
+	if errors.As(err, &broken) {
+		n.recordBrokenAnswer(h, "", broken)
+	}
+	return err
+}
+
 // trackCalls counts the callers' requests in progress.
 func (n *Node) trackCalls(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -51,6 +51,7 @@
 	// the addresses of the store for hosts that reach it in another way.
 	strictRevoke bool
 	storeOf      map[int]string
+	retryExtra   float64 // Settings.RetryExtra, 0 for 50
 }
 
 func address(i, port int) string { return fmt.Sprintf("127.0.4.%d:%d", i, port) }
@@ -143,7 +144,7 @@
 		Server: parse(address(i+1, portServer)), CallerListen: parse(address(i+1, portCallers)),
 		ReadyListen: parse(address(i+1, portReady)),
 		PeerListen:  parse(address(i+1, cmp.Or(d.peerPorts[i], portPeers))), Store: parse(store),
-		Grace: 4 * time.Second, ColdFactor: 1, RetryShare: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second,
+		Grace: 4 * time.Second, ColdFactor: 1, RetryShare: 0.2, RetryExtra: cmp.Or(d.retryExtra, 50), RetryWindow: 10 * time.Second,
 		RepublishDelay: time.Second, StrictRevoke: d.strictRevoke, RevokeTime: 5 * time.Second,
 	}
 }
--- a/relay/call.go
+++ b/relay/call.go
@@ -313,7 +313,7 @@
 		c.relay.count("OtherRegionDispatches")
 	}
 	start := time.Now()
-	a, err := c.relay.config.Owners.Owner(h.name).Dispatch(ctx, q)
+	a, err := c.dispatch(ctx, q, h.name)
 	now := time.Now()
 	var refusal *prim.RefusalError
 	c.measureDistance(now, now.Sub(start), cand, q, a, err)
@@ -351,6 +351,20 @@
 	return a, err
 }
 
+// dispatch sends the request to the owner at a host and returns its server's answer if that may
+// reach the caller.
+func (c *call) dispatch(ctx context.Context, q *prim.Request, h prim.HostName) (*prim.Answer, error) {
+	a, err := c.relay.config.Owners.Owner(h).Dispatch(ctx, q)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.relay.config.CheckAnswer(h, a); err != nil {
+		a.Drop()
+		return nil, err
+	}
+	return a, nil
+}
+
 // measureDistance records the delay to the data centre of an attempt, if its owner has told
 // how long it had the request. Nodes of earlier versions don't.
 func (c *call) measureDistance(now time.Time, took time.Duration, cand candidate, q *prim.Request, a *prim.Answer, err error) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -42,6 +42,10 @@
 	// AnswerBy returns the time by which requests have to be answered because this node
 	// stops; zero if it does not. It may be nil.
 	AnswerBy func() time.Time
+	// CheckAnswer returns an error for an answer of a host that must not reach a caller. It may
+	// be nil. The owner has checked its server's answers; this is for owners at nodes of earlier
+	// versions.
+	CheckAnswer func(prim.HostName, *prim.Answer) error
 	// Region returns the region of a data centre, or "" if it is unknown. SetRegions must be
 	// called after its results have changed. If it is nil, all regions are unknown.
 	Region func(prim.DataCentre) prim.Region
@@ -77,6 +81,9 @@
 	if c.AnswerBy == nil {
 		c.AnswerBy = func() time.Time { return time.Time{} }
 	}
+	if c.CheckAnswer == nil {
+		c.CheckAnswer = func(prim.HostName, *prim.Answer) error { return nil }
+	}
 	if c.Region == nil {
 		c.Region = func(prim.DataCentre) prim.Region { return "" }
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -84,9 +84,12 @@
 }
 
 // relay returns a relay with the given one-way latency to the other data centre.
-func (f *fleet) relay(distance time.Duration) *relay.Relay {
+func (f *fleet) relay(distance time.Duration) *relay.Relay { return f.relayWith(distance, nil) }
+
+// relayWith is relay with a check of answers.
+func (f *fleet) relayWith(distance time.Duration, check func(prim.HostName, *prim.Answer) error) *relay.Relay {
 	return relay.New(relay.Config{
-		Host: "none", DataCentre: "a", Placements: f, Owners: f, Links: f,
+		Host: "none", DataCentre: "a", Placements: f, Owners: f, Links: f, CheckAnswer: check,
 		Budget:          func() *budget.Budget { return budget.New(0, 0, 2) },
 		DataCentreDelay: distance, LinkCostPerKB: 30 * time.Millisecond,
 	})
@@ -130,6 +133,54 @@
 	}
 }
 
+// Guards against an answer that a node of an earlier version passes on although it is not its
+// server's own: it reaches no caller, and a second server gets the request only if it is idempotent
+// and the budget allows it.
+func TestRejectedAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name                 string
+		idempotent           bool
+		rejected             int // answers
+		dispatches, requests int
+		outcome              prim.Outcome
+	}{
+		{"idempotent", true, 1, 2, 1, prim.Done},
+		{"not idempotent", false, 1, 1, 1, prim.Unknown},
+		{"idempotent, all answers", true, 9, 3, 1, prim.Unknown},        // the attempts of the route
+		{"idempotent, no budget left", true, 9, 3 + 1, 2, prim.Unknown}, // newFleet allows two repeats
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f, _ := newFleet()
+			left := c.rejected
+			released := 0
+			for _, o := range f.owners {
+				o.run = func(context.Context, *prim.Request) (*prim.Answer, error) {
+					a := newAnswer(o.host, 200)
+					a.Release = func() { released++ }
+					return a, nil
+				}
+			}
+			r := f.relayWith(5*time.Millisecond, func(h prim.HostName, a *prim.Answer) error {
+				if left == 0 {
+					return nil
+				}
+				left--
+				return &prim.LostAnswerError{Host: h, Cause: &prim.BrokenAnswerError{Cause: errors.New("not signed")}}
+			})
+			var a *prim.Answer
+			var err error
+			for range c.requests {
+				a, err = r.Do(context.Background(), newRequest(c.idempotent))
+			}
+			is.Equal(prim.OutcomeOf(err), c.outcome)
+			is.Equal(a != nil, c.outcome == prim.Done)
+			is.Equal(len(f.dispatches), c.dispatches)
+			is.Equal(released, c.rejected-left)
+		})
+	}
+}
+
 // Guards against a failed idempotent request that is not retried at another server,
 // and against retries at the same server or beyond the attempts of the route.
 func TestIdempotentIsRepeatedElsewhere(t *testing.T) {
--- a/server/server.go
+++ b/server/server.go
@@ -65,6 +65,9 @@
 	// Match compares a response with the given headers with the request; nil compares
 	// HeaderSequence if the server returns it.
 	Match func(r *prim.Request, answer http.Header) Match
+	// Buffers reports whether the body of a response with the given status and header is read
+	// before Do returns; nil means all. Otherwise Do returns an answer with a Rest at once.
+	Buffers func(status int, answer http.Header) bool
 	// Memory accounts for buffered responses, and HeaderMemory for their headers; nil means no
 	// bound. Without memory a body is passed on while it is read, and an answer whose header
 	// is longer than usual is lost.
@@ -232,7 +235,10 @@
 			body.release()
 			return nil, answerBody{}, false, errUnidentified
 		}
-		complete, err := body.collect(resp)
+		complete := false
+		if match == Different || c.config.Buffers == nil || c.config.Buffers(resp.StatusCode, resp.Header) {
+			complete, err = body.collect(resp)
+		}
 		if err != nil {
 			body.release()
 			return nil, answerBody{}, false, err
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -200,3 +200,32 @@
 	is.NoErr(a.Rest.Close())
 	is.Equal(c.Status().Open, 0)
 }
+
+// Guards against a wait for a body that Config.Buffers has no use for, and against a connection
+// that is used again before that body was read.
+func TestUnbufferedAnswer(t *testing.T) {
+	is := is.New(t)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/endless" {
+			io.WriteString(w, "begin")
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}
+	}))
+	defer s.Close()
+	c := server.New(server.Config{Address: netip.MustParseAddrPort(s.Listener.Addr().String()), Connections: 1,
+		Buffers: func(status int, answer http.Header) bool { return status == 200 && answer.Get("Content-Length") != "" }})
+	defer c.Close()
+	for range 2 {
+		a, err := c.Do(context.Background(), newRequest("GET", "/endless"))
+		is.NoErr(err)
+		is.True(a.Rest != nil)
+		is.Equal(len(a.Body), 0)
+		a.Drop()
+		is.Equal(c.Status().Open, 0)
+		a, err = c.Do(context.Background(), newRequest("GET", "/empty"))
+		is.NoErr(err)
+		is.Equal(a.Rest, nil)
+		is.Equal(c.Status().Idle, 1)
+	}
+}
