relay: no repeat that can't be answered in time

Cause: a failed attempt was followed by another one whenever the budget had a token, also with less time left than requests of the class take. The owner then refused it, and the token was missing for a request that could be served.

Change: takeRetry asks for the expected service time, as nextAttempt already does for busy servers. The caller gets the final answer at once.

Test: TestNoRepeatWithoutTime fails before (2 dispatches instead of 1) and passes after it; package relay passes with -race -cpu 1.

--- a/relay/call.go
+++ b/relay/call.go
@@ -277,12 +277,15 @@
 	return &prim.RefusalError{Reason: prim.ReasonNoHomeRegion, Host: c.relay.config.Host, RetryAfter: after}
 }
 
-// takeRetry reports whether the request may be sent to another server. If so, it takes a
-// token from the retry budget.
+// takeRetry reports whether the request may be sent to another server, and can be expected to be
+// answered there before its deadline. If so, it takes a token from the retry budget.
 func (c *call) takeRetry(retryable bool) bool {
 	if !retryable || c.request.Attempts > 0 && len(c.attempted) >= c.request.Attempts {
 		return false
 	}
+	if !c.request.Deadline.After(time.Now().Add(c.expectedServiceTime())) {
+		return false
+	}
 	if !c.relay.takeRetryToken(c.request.Service) {
 		return false
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -181,6 +181,40 @@
 	}
 }
 
+// Guards against a repeat that can't be answered before the deadline: it takes a token of the budget
+// and the caller waits for nothing.
+func TestNoRepeatWithoutTime(t *testing.T) {
+	for _, c := range []struct {
+		left       time.Duration // after the failure
+		dispatches int
+	}{{60 * time.Millisecond, 2}, {19 * time.Millisecond, 1}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f, r := newFleet()
+			_, err := r.Do(t.Context(), newRequest(true)) // the class takes 20 ms
+			is.NoErr(err)
+			f.dispatches = nil
+			q := newRequest(true)
+			q.Deadline = time.Now().Add(100 * time.Millisecond)
+			failed := false
+			for _, o := range f.owners {
+				o.run = func(context.Context, *prim.Request) (*prim.Answer, error) {
+					if failed {
+						return newAnswer(o.host, 200), nil
+					}
+					failed = true
+					time.Sleep(100*time.Millisecond - c.left)
+					return nil, &prim.LostAnswerError{Cause: errors.New("link closed")}
+				}
+			}
+			_, err = r.Do(t.Context(), q)
+			is.Equal(len(f.dispatches), c.dispatches)
+			is.Equal(err == nil, c.dispatches == 2)
+			is.Equal(time.Until(q.Deadline), c.left) // no wait for the deadline
+		})
+	}
+}
+
 // Guards against a failed idempotent request that is not retried at another server,
 // and against retries at the same server or beyond the attempts of the route.
 func TestIdempotentIsRepeatedElsewhere(t *testing.T) {
