--- a/abuse/abuse_test.go
+++ b/abuse/abuse_test.go
@@ -141,6 +141,7 @@
 	{name: "a long field, and bodies that stop short of the end", clients: connectionClients, send: sendOnce(fieldsHead(longField(heldHeaderBytes)) + openBody)},
 	{name: "names in a Trailer field, and bodies that stop short of the end", clients: connectionClients, send: sendOnce(fieldsHead("Trailer: "+strings.Repeat("a,", heldHeaderBytes/2)+"a\r\n") + openBody)},
 	{name: "trailers of short fields that stop short of the end", clients: connectionClients, send: sendOnce(chunkedHead + "1\r\nx\r\n0\r\n" + shortFields(heldTrailerBytes))},
+	{name: "trailers with an empty line", clients: connectionClients, send: sendOnce(chunkedHead + "1\r\nx\r\n0\r\nA: b\n\nC: d\r\n\r\n")},
 	{name: "several requests of short fields at once", clients: connectionClients, send: func(c net.Conn) error {
 		return repeat(c, "", "GET /read/x HTTP/1.1\r\nHost: a.example\r\n"+shortFields(heldHeaderBytes)+"\r\n", 4)
 	}},
--- a/abuse/faulty_test.go
+++ b/abuse/faulty_test.go
@@ -87,6 +87,7 @@
 	{"an extension for each byte", endless(chunkedStart, "1;"+strings.Repeat("x", 100)+"\r\nx\r\n")},
 	{"trailers without end", endless(chunkedStart+"0\r\n", "a:\r\n")},
 	{"trailers of short fields, and no end", once(chunkedStart + "1\r\nx\r\n0\r\n" + shortFields(answerTrailerBytes))},
+	{"trailers with an empty line", once(chunkedStart + "1\r\nx\r\n0\r\nA: b\n\nC: d\r\n\r\n")},
 	{"bytes after an answer without end", endless(answerStart+"Content-Length: 1\r\n\r\nx", "x")},
 	{"answers after an answer without end", endless(answerStart+"Content-Length: 1\r\n\r\nx", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")},
 }
--- a/blocks/blocks_test.go
+++ b/blocks/blocks_test.go
@@ -113,8 +113,8 @@
 	})
 }
 
-// Guards against trailers that are parsed or passed on, and against a body that appears whole
-// although its end is missing or malformed.
+// Guards against trailers that are parsed or passed on, against a body that appears whole
+// although its end is missing or malformed, and against a panic on an empty line among trailers.
 func TestChunkedBody(t *testing.T) {
 	is := is.New(t)
 	for text, want := range map[string]error{
@@ -129,6 +129,10 @@
 		"1\r\nx\r\n0\r\nA: b\rC: d\r\n\r\n":                 blocks.ErrMalformedTrailers,
 		"1\r\nx\r\n0\r\nA: b\x00\r\n\r\n":                   blocks.ErrMalformedTrailers,
 		"1\r\nx\r\n0\r\nA: b\r\n c\x7f\r\n\r\n":             blocks.ErrMalformedTrailers,
+		"1\r\nx\r\n0\r\nA: b\n\nC: d\r\n\r\n":               blocks.ErrMalformedTrailers,
+		"1\r\nx\r\n0\r\n\nC: d\r\n\r\n":                     blocks.ErrMalformedTrailers,
+		"1\r\nx\r\n0\r\nA: b\n\r\nC: d\r\n\r\n":             blocks.ErrMalformedTrailers,
+		"1\r\nx\r\n0\r\nA: b\n\n\r\n\r\n":                   blocks.ErrMalformedTrailers,
 	} {
 		in := bufio.NewReader(strings.NewReader(text + "next"))
 		if want == io.ErrUnexpectedEOF {
--- a/blocks/chunked.go
+++ b/blocks/chunked.go
@@ -66,12 +66,14 @@
 }
 
 // areFields reports whether each line of a block is a field, or continues the one before it, by
-// the rules of net/http for values.
+// the rules of net/http for values. An empty line is neither: other parsers may take it for the end
+// of the block.
 func areFields(block []byte) bool {
 	for first := true; len(block) > 0; first = false {
 		var line []byte
 		line, block, _ = bytes.Cut(block, []byte("\n"))
-		if bytes.ContainsFunc(bytes.TrimSuffix(line, []byte("\r")), isControl) {
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		if len(line) == 0 || bytes.ContainsFunc(line, isControl) {
 			return false
 		}
 		if !first && (line[0] == ' ' || line[0] == '\t') {
--- a/server/fuzz_test.go
+++ b/server/fuzz_test.go
@@ -22,6 +22,7 @@
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 101 x\r\n\r\n",
 		"HTTP/1.0 999 x\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;a=b\r\nHello\r\n0\r\nA: b\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: b\n\nC: d\r\n\r\n", // panicked
 		"HTTP/1.1 200 OK\r\nPrimrosethread-Sequence: 1\r\nKeep-Alive: timeout=5\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nPrimrosethread-Sequence: 9\r\nContent-Length: 0\r\n\r\nHTTP/1.1 503 x\r\n\r\n",
 	} {
