A panic gives back what was reserved before it

Cause: between a reservation and its return the code relied on errors only. A panic left the connection to the server counted, the memory of a body and of the header of an answer reserved, a streamed answer open, the right to write to a link taken, and a call on it counted. A panic in the middle of a streamed answer also closed its link, with all calls on it, as the error that followed was a second answer.

The streamed answer ends truncated instead.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -98,16 +98,21 @@
 		slot.Done(prim.Attempt{Host: o.config.Host, Outcome: prim.NotRun})
 		return nil, o.refuse(prim.ReasonExpired)
 	}
+	var answer *prim.Answer
 	returned := false
 	defer func() {
-		if !returned {
-			// Do panicked. A slot that stayed in use would be lost for good.
-			slot.Done(prim.Attempt{Host: o.config.Host, Latency: time.Since(start), Outcome: prim.Unknown, Failed: true})
+		if returned {
+			return
 		}
+		// Something panicked. A slot that stayed in use would be lost for good.
+		if answer != nil {
+			answer.Drop()
+		}
+		slot.Done(prim.Attempt{Host: o.config.Host, Latency: time.Since(start), Outcome: prim.Unknown, Failed: true})
 	}()
 	answer, err := o.config.Server.Do(ctx, r)
-	returned = true
 	if err != nil {
+		returned = true
 		slot.Done(o.failedAttempt(err, time.Since(start)))
 		var refusal *prim.RefusalError
 		if errors.As(err, &refusal) {
@@ -123,6 +128,7 @@
 		slot.Done(a)
 	}
 	answer.Sample = o.Sample()
+	returned = true
 	return answer, nil
 }
 
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -83,3 +83,39 @@
 		t.Error("the slot is still in use")
 	}
 }
+
+// openAnswer is a prim.Server whose answers are still being received.
+type openAnswer struct {
+	prim.Server
+	closed int
+}
+
+func (s *openAnswer) Do(context.Context, *prim.Request) (*prim.Answer, error) {
+	return &prim.Answer{Status: 200, Rest: s}, nil
+}
+func (s *openAnswer) Read([]byte) (int, error) { return 0, nil }
+func (s *openAnswer) Close() error {
+	s.closed++
+	return nil
+}
+
+// panickingSample is an acceptingAdmitter whose Sample panics.
+type panickingSample struct{ acceptingAdmitter }
+
+func (panickingSample) Sample() prim.LoadSample { panic("test") }
+
+// Guards against a connection to the server that stays open, and a slot that stays in use, after an
+// unexpected error between an answer and its return.
+func TestPanicDropsAnswer(t *testing.T) {
+	is := is.New(t)
+	a := panickingSample{acceptingAdmitter{released: make(chan prim.Attempt, 2)}}
+	s := &openAnswer{}
+	o := owner.New(owner.Config{Host: "h", Admitter: a, Server: s})
+	err := guard.New(slog.New(slog.DiscardHandler)).Run(func() error {
+		_, err := o.Dispatch(t.Context(), &prim.Request{Deadline: time.Now().Add(time.Minute)})
+		return err
+	})
+	is.True(err != nil)
+	is.Equal(s.closed, 1)
+	is.True(len(a.released) > 0)
+}
--- a/peers/accept.go
+++ b/peers/accept.go
@@ -152,12 +152,18 @@
 // startCall runs a call, which holds the memory of its frame until it ends. An error closes
 // the link.
 func (l *inboundLink) startCall(ctx context.Context, h wire.Header, body []byte, held heldFrame) error {
+	launched := false
+	defer func() {
+		if !launched {
+			held.release() // also after a panic
+		}
+	}()
 	now := time.Now()
 	ctx, cancel, ok, err := l.beginCall(ctx, &h, now)
 	if !ok {
-		held.release()
 		return err
 	}
+	launched = true
 	l.launchCall(ctx, cancel, &h, body, now, held.release)
 	return nil
 }
@@ -321,25 +327,20 @@
 // sendResult sends the answer or the error of a request that arrived at the given time. An
 // answer with a Rest is sent in parts.
 func (l *inboundLink) sendResult(ctx context.Context, id uint64, arrivedAt time.Time, answer *prim.Answer, err error) {
-	var h wire.Header
-	if err != nil {
-		h = wire.ErrorHeader(id, err)
-	} else {
-		h = wire.AnswerHeader(id, answer)
-	}
-	h.OwnerTime = max(1, time.Since(arrivedAt)) // 0 would mean that it is unknown
+	ownerTime := max(1, time.Since(arrivedAt)) // 0 would mean that it is unknown
 	if err != nil {
+		h := wire.ErrorHeader(id, err)
+		h.OwnerTime = ownerTime
 		l.respond(h, nil)
 		return
 	}
-	if answer.Release != nil {
-		defer answer.Release()
-	}
+	defer answer.Drop()
+	h := wire.AnswerHeader(id, answer)
+	h.OwnerTime = ownerTime
 	if answer.Rest == nil {
 		l.respond(h, answer.Body)
 		return
 	}
-	defer answer.Rest.Close()
 	credit := make(chan struct{}, creditWindow)
 	for range creditWindow {
 		credit <- struct{}{}
@@ -356,6 +357,12 @@
 // sendParts sends the rest of a long answer, one part for each credit. A part
 // with an error text tells the receiver that the answer is truncated.
 func (l *inboundLink) sendParts(ctx context.Context, id uint64, rest io.Reader, credit <-chan struct{}) {
+	ended := false
+	defer func() {
+		if !ended { // a panic; another answer to the call would close the link
+			l.respond(wire.Header{Type: wire.AnswerPart, ID: id, Text: "internal error"}, nil)
+		}
+	}()
 	buf := make([]byte, partBytes)
 	for {
 		n, err := io.ReadFull(rest, buf)
@@ -367,10 +374,12 @@
 		select {
 		case <-credit:
 		case <-ctx.Done():
+			ended = true
 			l.respond(wire.Header{Type: wire.AnswerPart, ID: id, Text: ctx.Err().Error()}, nil)
 			return
 		}
 		if l.respond(h, buf[:n]) != nil || err != nil {
+			ended = true
 			return
 		}
 	}
--- a/peers/bodies.go
+++ b/peers/bodies.go
@@ -69,9 +69,7 @@
 		l.dropCall(c)
 		return nil, o.refuseLarge()
 	}
-	l.bodiesInProgress.Add(1)
 	reply, err := o.sendBody(ctx, l, c, h, body)
-	l.bodiesInProgress.Add(-1)
 	if err != nil {
 		o.peers.bodiesAbandoned.Add(1)
 		return nil, err
@@ -86,6 +84,8 @@
 // sendBody sends a request in parts. It returns a reply if one arrives before the end, which
 // is a refusal.
 func (o *remoteOwner) sendBody(ctx context.Context, l *link, c *call, h *wire.Header, body []byte) (*reply, error) {
+	l.bodiesInProgress.Add(1)
+	defer l.bodiesInProgress.Add(-1)
 	credits := l.grantCredits(c)
 	h.More, h.BodyTotal = true, len(body)
 	if sent, err := l.writeFrame(ctx, h, nil); err != nil {
@@ -266,25 +266,29 @@
 // startBody begins to collect the body of a request, whose header is charged as held. An error
 // closes the link.
 func (l *inboundLink) startBody(ctx context.Context, h wire.Header, held heldFrame) error {
+	started := false
+	defer func() {
+		if !started {
+			held.release() // also after a panic
+		}
+	}()
 	if h.BodyTotal <= 0 || h.BodyTotal > prim.MaxRequestBody {
-		held.release()
 		return &wire.FrameError{Problem: "length of the body out of range", Cause: fmt.Errorf("%d of %d bytes", h.BodyTotal, prim.MaxRequestBody)}
 	}
 	if h.Instance != l.peers.config.Instance {
-		held.release()
 		l.runSoon(func() { l.refuse(h.ID, prim.ReasonOtherInstance) })
 		return nil
 	}
 	now := time.Now()
 	ctx, cancel, ok, err := l.beginCall(ctx, &h, now)
 	if !ok {
-		held.release()
 		return err
 	}
 	b := &incomingBody{ctx: ctx, cancel: cancel, header: h, receivedAt: now, buffer: bodyBuffer{memory: l.peers.config.Memory, total: h.BodyTotal}, frame: held}
 	l.callMu.Lock()
 	defer l.callMu.Unlock()
 	l.bodies[h.ID] = b
+	started = true
 	b.stalled = time.AfterFunc(l.peers.bodyStallTimeout, func() { l.abandonBody(h.ID, prim.ReasonUnreachable) })
 	b.unwatch = context.AfterFunc(ctx, func() {
 		reason := prim.ReasonCancelled
--- a/peers/link.go
+++ b/peers/link.go
@@ -105,21 +105,25 @@
 	if err := l.acquireWriteSem(ctx); err != nil {
 		return false, err
 	}
-	held := 0
-	if h.Type == wire.Dispatch || h.Type == wire.Reserve {
-		held = len(body)
-		if !l.peers.config.Memory.Reserve(held) {
+	held, passedOn := 0, false
+	defer func() {
+		if !passedOn { // also after a panic
+			l.peers.config.Memory.Release(held)
 			l.releaseWriteSem()
+		}
+	}()
+	if h.Type == wire.Dispatch || h.Type == wire.Reserve {
+		if !l.peers.config.Memory.Reserve(len(body)) {
 			return false, errNoMemory
 		}
+		held = len(body)
 	}
 	buf := frameBuffers.Get().(*[]byte)
 	if *buf, err = wire.Append((*buf)[:0], h, body); err != nil {
 		releaseBuffer(buf)
-		l.peers.config.Memory.Release(held)
-		l.releaseWriteSem()
 		return false, err
 	}
+	passedOn = true
 	return l.writeLong(ctx, buf, held)
 }
 
--- a/peers/remote.go
+++ b/peers/remote.go
@@ -28,6 +28,19 @@
 	if err != nil {
 		return nil, err
 	}
+	returned := false
+	defer func() {
+		if !returned {
+			l.cancelCall(c) // something panicked
+		}
+	}()
+	answer, err := o.dispatchCall(ctx, l, c, r)
+	returned = true
+	return answer, err
+}
+
+// dispatchCall is Dispatch for a registered call.
+func (o *remoteOwner) dispatchCall(ctx context.Context, l *link, c *call, r *prim.Request) (*prim.Answer, error) {
 	h := wire.RequestHeader(wire.Dispatch, r, time.Now())
 	h.ID = c.id
 	h.Instance = l.instance
--- a/relay/call.go
+++ b/relay/call.go
@@ -91,13 +91,19 @@
 	r.countFirstAttempt(q.Service)
 	// An unresponsive owner or a stalled link must not block the caller.
 	ctx, cancel := context.WithDeadline(ctx, q.Deadline.Add(deadlineGrace))
+	streams := false
+	defer func() {
+		if !streams {
+			cancel()
+		}
+	}()
 	a, err := c.run(ctx)
 	if err == nil && a.Rest != nil {
 		streamed := *a
 		streamed.Rest = &stream{a.Rest, cancel}
+		streams = true
 		return &streamed, nil
 	}
-	cancel()
 	if err == nil {
 		return a, nil
 	}
@@ -361,10 +367,16 @@
 	if err != nil {
 		return nil, err
 	}
+	accepted := false
+	defer func() {
+		if !accepted {
+			a.Drop() // also after a panic
+		}
+	}()
 	if err := c.relay.config.CheckAnswer(h, a); err != nil {
-		a.Drop()
 		return nil, err
 	}
+	accepted = true
 	return a, nil
 }
 
--- a/server/pool.go
+++ b/server/pool.go
@@ -193,9 +193,11 @@
 	return time.Since(c.lastUsed) < c.idleTimeout && c.isOpen()
 }
 
-// discardConn closes a connection and removes it from the count of open ones.
+// discardConn closes a connection and removes it from the count of open ones. It returns what is
+// charged for a header that was not read to its end.
 func (c *Client) discardConn(conn *connection) {
 	conn.net.Close()
+	conn.input.meter.Reset()
 	c.mu.Lock()
 	c.openConns--
 	c.mu.Unlock()
--- a/server/server.go
+++ b/server/server.go
@@ -157,9 +157,14 @@
 		return nil, err
 	}
 	start := time.Now()
+	settled := false // the connection is in the pool or belongs to the answer
+	defer func() {
+		if !settled {
+			c.discardConn(conn) // also after a panic
+		}
+	}()
 	answer, reusable, err := c.exchange(ctx, conn, r)
 	if err != nil {
-		c.discardConn(conn)
 		return nil, err
 	}
 	answer.ServiceTime = time.Since(start)
@@ -169,6 +174,7 @@
 		// A second copy of a refusal would say of the next request that it did not run.
 		c.releaseConn(conn, reusable && (!shed || conn.returnsSequence))
 	}
+	settled = true
 	if shed {
 		answer.Drop()
 		return nil, c.refusal(prim.ReasonShed)
@@ -229,18 +235,8 @@
 		if err != nil {
 			return nil, answerBody{}, false, err
 		}
-		body := answerBody{memory: c.config.Memory, header: heldHeader{c.config.HeaderMemory, conn.input.meter.Take()}}
-		match := c.match(conn, r, resp.Header)
-		if match == Unidentified && conn.requests > 1 {
-			body.release()
-			return nil, answerBody{}, false, errUnidentified
-		}
-		complete := false
-		if match == Different || c.config.Buffers == nil || c.config.Buffers(resp.StatusCode, resp.Header) {
-			complete, err = body.collect(resp)
-		}
+		body, match, complete, err := c.receiveBody(conn, r, resp)
 		if err != nil {
-			body.release()
 			return nil, answerBody{}, false, err
 		}
 		if match != Different {
@@ -254,6 +250,29 @@
 	return nil, answerBody{}, false, errOtherRequest
 }
 
+// receiveBody tells whether a response is for the request and reads the part of its body that is
+// buffered. It reports whether that is the whole body.
+func (c *Client) receiveBody(conn *connection, r *prim.Request, resp *http.Response) (body answerBody, match Match, complete bool, err error) {
+	body = answerBody{memory: c.config.Memory, header: heldHeader{c.config.HeaderMemory, conn.input.meter.Take()}}
+	received := false
+	defer func() {
+		if !received {
+			body.release() // also after a panic
+		}
+	}()
+	match = c.match(conn, r, resp.Header)
+	if match == Unidentified && conn.requests > 1 {
+		return body, match, false, errUnidentified
+	}
+	if match == Different || c.config.Buffers == nil || c.config.Buffers(resp.StatusCode, resp.Header) {
+		if complete, err = body.collect(resp); err != nil {
+			return body, match, false, err
+		}
+	}
+	received = true
+	return body, match, complete, nil
+}
+
 var (
 	errOtherRequest = errors.New("the answer belongs to another request")
 	errUnidentified = errors.New("the answer does not tell which request it belongs to")
