--- a/front/front.go
+++ b/front/front.go
@@ -143,20 +143,18 @@
 	if _, ok := view.Service(service); !ok {
 		return nil, newProblem(http.StatusNotFound, "unknown service", "use a service of the host list as the first path segment")
 	}
-	path := strings.TrimPrefix(httpRequest.URL.EscapedPath(), "/"+string(service))
+	target := strings.TrimPrefix(prim.OriginForm(httpRequest.RequestURI), "/"+string(service))
+	path, _, _ := strings.Cut(target, "?")
 	route := view.Route(service, httpRequest.Method, path)
 	if route.Internal && !customer.Internal {
 		return nil, newProblem(http.StatusForbidden, "internal route", "only the operator's own applications may call it")
 	}
-	if httpRequest.URL.RawQuery != "" {
-		path += "?" + httpRequest.URL.RawQuery
-	}
 	r := &prim.Request{
 		Service:    service,
 		Customer:   customer.Name,
 		Class:      route.Class,
 		Method:     httpRequest.Method,
-		Path:       path,
+		Path:       target,
 		Header:     httpRequest.Header,
 		Idempotent: route.Idempotent,
 		Internal:   customer.Internal,
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -120,6 +120,21 @@
 	is.True(node.lastRequest.Header.Get(front.HeaderRequestID) != "")
 }
 
+// Guards against a path that is encoded anew if it has a byte such as "|", by which an encoded slash
+// becomes a separator.
+func TestPathIsForwardedUnchanged(t *testing.T) {
+	is := is.New(t)
+	_, s := startServer(t)
+	req, err := http.NewRequest("POST", s.URL, nil)
+	is.NoErr(err)
+	req.URL.Opaque = "/dispatch/couriers/a%2Fb|c?x=|"
+	req.Header.Set("Authorization", "Bearer f")
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	resp.Body.Close()
+	is.Equal(resp.Header.Get("X-Path"), "/couriers/a%2Fb|c?x=|")
+}
+
 // Guards against running a request that is invalid or not allowed, and against a
 // problem without a title or a remedy.
 func TestRefusals(t *testing.T) {
--- a/request.go
+++ b/request.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"runtime"
+	"strings"
 	"sync"
 	"time"
 )
@@ -84,6 +85,26 @@
 	Regions    []Region
 }
 
+// OriginForm returns the path and the query of a request's target as they were sent. A target in
+// absolute form (RFC 9112, section 3.2.2) names the authority as well.
+func OriginForm(target string) string {
+	if strings.HasPrefix(target, "/") {
+		return target
+	}
+	_, rest, ok := strings.Cut(target, "://")
+	if !ok {
+		return target
+	}
+	switch i := strings.IndexAny(rest, "/?"); {
+	case i < 0:
+		return "/"
+	case rest[i] == '?':
+		return "/" + rest[i:]
+	default:
+		return rest[i:]
+	}
+}
+
 // Answer is what a server returned for a request.
 type Answer struct {
 	Status int
--- a/server/body_test.go
+++ b/server/body_test.go
@@ -36,10 +36,9 @@
 	for _, n := range []int{0, 1, bufferSize, 3 * bufferSize, 1 << 20} {
 		body := bytes.Repeat([]byte("body"), n/4+1)[:n]
 		conn := &recordingConn{body: body}
-		w := bufio.NewWriterSize(bodyWriter{conn}, bufferSize)
+		w := bufio.NewWriterSize(conn, bufferSize)
 		r := &prim.Request{Method: "POST", Path: "/", Body: body, Deadline: time.Now().Add(time.Minute)}
-		is.NoErr(c.newHTTPRequest(r, &connection{}).Write(w))
-		is.NoErr(w.Flush())
+		is.NoErr(c.writeRequest(w, r, &connection{}))
 		_, got, _ := bytes.Cut(conn.written.Bytes(), []byte("\r\n\r\n"))
 		is.True(bytes.Equal(got, body))
 		if n > bufferSize {
--- a/server/pool.go
+++ b/server/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -120,27 +119,10 @@
 		net:         conn,
 		input:       input,
 		reader:      bufio.NewReaderSize(input, bufferSize),
-		writer:      bufio.NewWriterSize(bodyWriter{conn}, bufferSize),
+		writer:      bufio.NewWriterSize(conn, bufferSize),
 	}, nil
 }
 
-// bodyWriter writes to a connection. Request.Write passes it the part of a body that does not
-// fit into the buffer of connection.writer as a limited bytes.Reader. It is written from the
-// body's own memory; net/http would copy it through a buffer of 32 KiB.
-type bodyWriter struct{ net.Conn }
-
-// ReadFrom implements io.ReaderFrom.
-func (w bodyWriter) ReadFrom(r io.Reader) (int64, error) {
-	if limited, ok := r.(*io.LimitedReader); ok {
-		if body, ok := limited.R.(*bytes.Reader); ok && int64(body.Len()) <= limited.N {
-			n, err := body.WriteTo(w.Conn)
-			limited.N -= n
-			return n, err
-		}
-	}
-	return io.Copy(struct{ io.Writer }{w.Conn}, r)
-}
-
 // releaseConn returns a connection to the pool. It closes the connection if it is not
 // reusable or has unread input.
 func (c *Client) releaseConn(conn *connection, reusable bool) {
--- a/server/server.go
+++ b/server/server.go
@@ -7,8 +7,6 @@
 package server
 
 import (
-	"bytes"
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -16,7 +14,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"net/url"
 	"strconv"
 	"strings"
 	"sync"
@@ -188,16 +185,11 @@
 	conn.requests++
 	conn.net.SetDeadline(r.Deadline)
 	stopCancel := context.AfterFunc(ctx, func() { conn.net.SetDeadline(time.Unix(1, 0)) })
-	req := c.newHTTPRequest(r, conn)
-	if err := req.Write(conn.writer); err != nil {
+	if err := c.writeRequest(conn.writer, r, conn); err != nil {
 		stopCancel()
 		return nil, false, c.lostError(ctx, err)
 	}
-	if err := conn.writer.Flush(); err != nil {
-		stopCancel()
-		return nil, false, c.lostError(ctx, err)
-	}
-	resp, body, complete, err := c.receiveAnswer(conn, r, req)
+	resp, body, complete, err := c.receiveAnswer(conn, r, &http.Request{Method: r.Method})
 	if err != nil {
 		stopCancel()
 		var broken *prim.BrokenAnswerError
@@ -375,43 +367,6 @@
 	return &prim.BrokenAnswerError{Cause: err}
 }
 
-// newHTTPRequest returns the HTTP request to send, without hop-by-hop headers.
-func (c *Client) newHTTPRequest(r *prim.Request, conn *connection) *http.Request {
-	header := make(http.Header, len(r.Header)+3)
-	for k, v := range r.Header {
-		header[k] = v
-	}
-	removeHopByHopHeaders(header)
-	if !c.config.OmitNodeHeaders {
-		header[HeaderTimeout] = []string{strconv.FormatInt(max(time.Until(r.Deadline).Milliseconds(), 1), 10)}
-		header[HeaderCustomer] = []string{string(r.Customer)}
-		header[HeaderSequence] = []string{conn.sequence()}
-	}
-	req := &http.Request{
-		Method:     r.Method,
-		URL:        requestURL(r.Path),
-		Host:       cmp.Or(r.Authority, c.address),
-		Proto:      "HTTP/1.1",
-		ProtoMajor: 1,
-		ProtoMinor: 1,
-		Header:     header,
-	}
-	if len(r.Body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(r.Body))
-		req.ContentLength = int64(len(r.Body))
-	}
-	return req
-}
-
-// requestURL parses a path and keeps its escaping as the caller wrote it.
-func requestURL(path string) *url.URL {
-	u, err := url.ParseRequestURI(path)
-	if err != nil {
-		return &url.URL{Path: path}
-	}
-	return u
-}
-
 // hopByHopHeaders lists the headers that apply to a single connection and are not
 // forwarded (RFC 9110, section 7.6.1).
 var hopByHopHeaders = [...]string{
