--- a/blocks/chunked.go
+++ b/blocks/chunked.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http/httputil"
+	"strings"
 )
 
 // ChunkedBody reads a chunked body and discards its trailers. net/http parses them into a map,
@@ -80,12 +81,18 @@
 			continue
 		}
 		name, _, found := bytes.Cut(line, []byte(":"))
-		if !found || len(name) == 0 || bytes.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r >= 0x7f }) {
+		if !found || len(name) == 0 || bytes.ContainsFunc(name, isNoToken) {
 			return false
 		}
 	}
 	return true
 }
 
+// isNoToken reports whether a byte may not be in the name of a field (RFC 9110, section 5.6.2).
+func isNoToken(r rune) bool {
+	letter := 'a' <= r|0x20 && r|0x20 <= 'z'
+	return !letter && (r < '0' || r > '9') && !strings.ContainsRune("!#$%&'*+-.^_`|~", r)
+}
+
 // isControl reports whether a byte may not be in the value of a field.
 func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
--- a/httpd/fuzz_test.go
+++ b/httpd/fuzz_test.go
@@ -24,6 +24,7 @@
 		"T / HTTP/1.1\nHost:\nTransfer-Encoding:chunked\n\n3;\r\nabc\r\n0\r\nT: x\r\r\n\r\n", // was accepted with a control byte in a trailer
 		"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /short" + end,
 		"POST /unread HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nA: b\n\nC: d\r\n\r\nGET /" + end, // panicked
+		"POST /unread HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nA(: b\r\n\r\nGET /" + end,        // was accepted with a name that is no token
 	} {
 		f.Add([]byte(seed))
 	}
