platform: an encoding that nobody asked for is not the server's

Cause: the users' page says that a response with a Content-Encoding is not the server's body, as their clients ask for none. A signed answer with one was passed on as a success.

Change: CheckAnswer takes such an answer for broken, unless the request has Accept-Encoding.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -349,8 +349,8 @@
 
 // checkAnswer checks an answer that came from the owner at a host, and records it if it is
 // not that of the host's server.
-func (n *Node) checkAnswer(h prim.HostName, a *prim.Answer) error {
-	err := platform.CheckAnswer(h, a)
+func (n *Node) checkAnswer(h prim.HostName, r *prim.Request, a *prim.Answer) error {
+	err := platform.CheckAnswer(h, r, a)
 	var broken *prim.BrokenAnswerError
 	if errors.As(err, &broken) {
 		n.recordBrokenAnswer(h, "", broken)
--- a/mesh/unsigned_test.go
+++ b/mesh/unsigned_test.go
@@ -64,8 +64,8 @@
 	err    error
 }
 
-// ask sends a request to the node of a host.
-func (d *deployment) ask(i int, path, id string) (a clientAnswer) {
+// ask sends a request with header fields, alternating names and values, to the node of a host.
+func (d *deployment) ask(i int, path, id string, fields ...string) (a clientAnswer) {
 	d.t.Helper()
 	q, err := http.NewRequest("POST", "http://"+address(i+1, portCallers)+path, nil)
 	if err != nil {
@@ -74,7 +74,10 @@
 	q.Host = "a.example"
 	q.Header.Set("X-Attempt-Id", id)
 	q.Header.Set("X-Deadline-Ms", "5000")
-	client := http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	for i := 0; i+1 < len(fields); i += 2 {
+		q.Header.Set(fields[i], fields[i+1])
+	}
+	client := http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	resp, err := client.Do(q)
 	if err != nil {
 		return clientAnswer{err: err}
@@ -150,6 +153,8 @@
 		{"200 whose signature is for the connection only", withLength(200, "Connection: X-Response-Seal\r\n"+signed, "page"), broken},
 		{"200 that claims not to have run", withLength(200, refusing, "page"), broken},
 		{"200 whose body stops short", withLength(200, "", "page"+stopsShort), broken},
+		{"signed 200 with an encoding that nobody asked for", withLength(200, signed+"Content-Encoding: gzip\r\n", "page"), broken},
+		{"long signed 200 with an encoding that nobody asked for", withLength(200, signed+"Content-Encoding: gzip\r\n", long), broken},
 		{"204", head(204, "\r\n"), broken},
 		{"302", withLength(302, "Location: /\r\n", ""), broken},
 		{"400", withLength(400, "", "page"), broken},
@@ -170,6 +175,7 @@
 		{"long refusal until the end", untilEnd(503, refusing, long), refused},
 		{"long refusal for another run of the server", withLength(421, "", long), refused},
 		{"signed 200", withLength(200, signed, "page"), own},
+		{"signed 200 with the encoding identity", withLength(200, signed+"Content-Encoding: identity\r\n", "page"), own},
 		{"signed 200 until the end", untilEnd(200, signed, "page"), own},
 		{"long signed 200", chunked(200, signed, long), own},
 		{"signed 404", withLength(404, signed, "page"), own},
@@ -226,3 +232,19 @@
 		}
 	}
 }
+
+// Guards against the loss of answers with an encoding that the client has asked for.
+func TestEncodingIsPassedOnIfAskedFor(t *testing.T) {
+	is := is.New(t)
+	answers := firstAnswers{arrivals: make(map[string]int), texts: []string{
+		"HTTP/1.1 200 OK\r\nID\r\nX-Response-Seal: seal\r\nContent-Encoding: x\r\nContent-Length: 4\r\n\r\npage"}}
+	d := newDeployment(t, 1)
+	d.servers[0].Close()
+	d.servers[0] = d.serve(address(1, portServer), answers.of(d.apps[0]))
+	d.waitFor(func() bool { return d.ask(0, "/r/x", "warm").status == 200 })
+	got := d.ask(0, "/r/0", "asked", "Accept-Encoding", "x")
+	is.Equal(got.status, 200)
+	is.Equal(got.header.Get("Content-Encoding"), "x")
+	is.Equal(got.body, "page")
+	is.Equal(d.ask(0, "/r/0", "not asked").status, http.StatusBadGateway)
+}
--- a/relay/call.go
+++ b/relay/call.go
@@ -373,7 +373,7 @@
 			a.Drop() // also after a panic
 		}
 	}()
-	if err := c.relay.config.CheckAnswer(h, a); err != nil {
+	if err := c.relay.config.CheckAnswer(h, q, a); err != nil {
 		return nil, err
 	}
 	accepted = true
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -45,7 +45,7 @@
 	// CheckAnswer returns an error for an answer of a host that must not reach a caller. It may
 	// be nil. The owner has checked its server's answers; this is for owners at nodes of earlier
 	// versions.
-	CheckAnswer func(prim.HostName, *prim.Answer) error
+	CheckAnswer func(prim.HostName, *prim.Request, *prim.Answer) error
 	// Region returns the region of a data centre, or "" if it is unknown. SetRegions must be
 	// called after its results have changed. If it is nil, all regions are unknown.
 	Region func(prim.DataCentre) prim.Region
@@ -82,7 +82,7 @@
 		c.AnswerBy = func() time.Time { return time.Time{} }
 	}
 	if c.CheckAnswer == nil {
-		c.CheckAnswer = func(prim.HostName, *prim.Answer) error { return nil }
+		c.CheckAnswer = func(prim.HostName, *prim.Request, *prim.Answer) error { return nil }
 	}
 	if c.Region == nil {
 		c.Region = func(prim.DataCentre) prim.Region { return "" }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -87,7 +87,7 @@
 func (f *fleet) relay(distance time.Duration) *relay.Relay { return f.relayWith(distance, nil) }
 
 // relayWith is relay with a check of answers.
-func (f *fleet) relayWith(distance time.Duration, check func(prim.HostName, *prim.Answer) error) *relay.Relay {
+func (f *fleet) relayWith(distance time.Duration, check func(prim.HostName, *prim.Request, *prim.Answer) error) *relay.Relay {
 	return relay.New(relay.Config{
 		Host: "none", DataCentre: "a", Placements: f, Owners: f, Links: f, CheckAnswer: check,
 		Budget:          func() *budget.Budget { return budget.New(0, 0, 2) },
@@ -161,7 +161,7 @@
 					return a, nil
 				}
 			}
-			r := f.relayWith(5*time.Millisecond, func(h prim.HostName, a *prim.Answer) error {
+			r := f.relayWith(5*time.Millisecond, func(h prim.HostName, _ *prim.Request, _ *prim.Answer) error {
 				if left == 0 {
 					return nil
 				}
