--- a/peers/panic_test.go
+++ b/peers/panic_test.go
@@ -110,6 +110,12 @@
 			_, err := a.Owner("b").Dispatch(t.Context(), r)
 			return err
 		}) != nil)
+		is.True(g.Run(func() error {
+			r := request("/x")
+			r.Body = make([]byte, 800<<10)
+			_, err := a.Owner("b").Reserve(t.Context(), r)
+			return err
+		}) != nil)
 		memory.brittle.Store(false)
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		answer, err := a.Owner("b").Dispatch(ctx, request("/y"))
@@ -118,5 +124,5 @@
 		is.Equal(string(answer.Body), "/y")
 		is.Equal(memory.used.Load(), int64(0))
 	}
-	is.Equal(g.Panics(), int64(3))
+	is.Equal(g.Panics(), int64(6))
 }
--- a/peers/remote.go
+++ b/peers/remote.go
@@ -28,15 +28,21 @@
 	if err != nil {
 		return nil, err
 	}
+	return guardCall(l, c, func() (*prim.Answer, error) { return o.dispatchCall(ctx, l, c, r) })
+}
+
+// guardCall runs a call and cancels it if run panics. A call that stayed registered would count
+// toward Config.MaxCalls for good.
+func guardCall[T any](l *link, c *call, run func() (T, error)) (result T, err error) {
 	returned := false
 	defer func() {
 		if !returned {
-			l.cancelCall(c) // something panicked
+			l.cancelCall(c)
 		}
 	}()
-	answer, err := o.dispatchCall(ctx, l, c, r)
+	result, err = run()
 	returned = true
-	return answer, err
+	return result, err
 }
 
 // dispatchCall is Dispatch for a registered call.
@@ -63,6 +69,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return guardCall(l, c, func() (prim.Reservation, error) { return o.reserveCall(ctx, l, c, r) })
+}
+
+// reserveCall is Reserve for a registered call.
+func (o *remoteOwner) reserveCall(ctx context.Context, l *link, c *call, r *prim.Request) (prim.Reservation, error) {
 	h := wire.RequestHeader(wire.Reserve, r, time.Now())
 	h.ID = c.id
 	h.Instance = l.instance
@@ -223,14 +234,16 @@
 	if err != nil {
 		return nil, refused
 	}
-	h := wire.Header{Type: wire.Commit, ID: c.id, Instance: r.link.instance, Ticket: r.ticket}
-	if deadline, ok := ctx.Deadline(); ok {
-		h.Remaining = time.Until(deadline)
-	}
-	if sent, err := r.link.writeFrame(ctx, &h, nil); err != nil {
-		return nil, r.owner.failCall(r.link, c, sent, err)
-	}
-	return r.owner.awaitAnswer(ctx, r.link, c)
+	return guardCall(r.link, c, func() (*prim.Answer, error) {
+		h := wire.Header{Type: wire.Commit, ID: c.id, Instance: r.link.instance, Ticket: r.ticket}
+		if deadline, ok := ctx.Deadline(); ok {
+			h.Remaining = time.Until(deadline)
+		}
+		if sent, err := r.link.writeFrame(ctx, &h, nil); err != nil {
+			return nil, r.owner.failCall(r.link, c, sent, err)
+		}
+		return r.owner.awaitAnswer(ctx, r.link, c)
+	})
 }
 
 // Release releases the slot. It does nothing after Commit.
