soak: servers that answer without their signature

One server after the other runs its requests and answers without its signature for 50 to 250 ms, with 200, 404, 429, 500 or 503. The checks were there: no client may get the page, a 3xx or 4xx, or 429 or 503 for a request that ran.

--- a/cmd/soak/check.go
+++ b/cmd/soak/check.go
@@ -97,6 +97,7 @@
 		injecting.Go(func() { d.injectRegionFaults(faultCtx) })
 	}
 	injecting.Go(func() { d.injectResets(faultCtx) })
+	injecting.Go(func() { d.injectUnsigned(faultCtx) })
 	injecting.Wait()
 	stopFaults()
 	// The deployment recovers in the first seconds without faults, so requests sent in
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"strconv"
 	"syscall"
 	"time"
@@ -240,6 +241,23 @@
 	}
 }
 
+// unsignedSource numbers the random source of the fault of injectUnsigned.
+const unsignedSource = 40000
+
+// injectUnsigned makes one server after the other answer without its signature for a short time,
+// until the context ends. No client may get such an answer.
+func (d *deployment) injectUnsigned(ctx context.Context) {
+	statuses := [...]int{http.StatusOK, http.StatusNotFound, http.StatusTooManyRequests, http.StatusInternalServerError, http.StatusServiceUnavailable}
+	r := rand.New(rand.NewPCG(d.c.seed, unsignedSource))
+	for ctx.Err() == nil {
+		waits.Sleep(ctx, time.Duration(r.IntN(2000))*time.Millisecond)
+		h := d.hosts[r.IntN(len(d.hosts))]
+		h.app.SetUnsigned(statuses[r.IntN(len(statuses))])
+		waits.Sleep(ctx, time.Duration(50+r.IntN(200))*time.Millisecond)
+		h.app.SetUnsigned(0)
+	}
+}
+
 // restartNode starts a host's node after its process has ended.
 func (d *deployment) restartNode(h *host) {
 	if err := d.startNode(h); err != nil {
--- a/fakes/app.go
+++ b/fakes/app.go
@@ -34,6 +34,7 @@
 	running     int
 	slowdown    float64 // factor applied to ServiceTime when a request starts
 	failing     bool
+	unsigned    int // status, or 0
 	resetting   bool
 	occupied    int // slots that requests of others take
 	resets      int
@@ -108,6 +109,14 @@
 	return a.resets
 }
 
+// SetUnsigned makes requests that have run get answers with a status and a page, without the
+// server's signature; 0 ends it.
+func (a *App) SetUnsigned(status int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.unsigned = status
+}
+
 // SetHeader sets a header of all answers, or removes it if there are no values.
 func (a *App) SetHeader(name string, values ...string) {
 	a.mu.Lock()
@@ -170,7 +179,7 @@
 	if d, err := time.ParseDuration(r.URL.Query().Get("work")); err == nil {
 		duration = d
 	}
-	failing := a.failing
+	failing, unsigned := a.failing, a.unsigned
 	a.runs = append(a.runs, Run{id, r.Method, r.URL.RequestURI(), r.Header.Get("X-Caller-Service"), time.Now(), r.Header.Clone()})
 	a.mu.Unlock()
 	expired := false
@@ -188,6 +197,11 @@
 	}
 	h.Set("X-Server-Load", a.load())
 	a.mu.Unlock()
+	if unsigned != 0 {
+		w.WriteHeader(unsigned)
+		io.WriteString(w, "page")
+		return
+	}
 	h.Set("X-Response-Seal", "seal-"+id)
 	if expired {
 		w.WriteHeader(http.StatusGatewayTimeout)
