platform: one decision on whether an answer is broken

BuffersAnswer repeated part of CheckAnswer and missed an encoding that nobody asked for: the caller of such an answer waited for its body, until the deadline if the body stopped. It asks CheckAnswer now. A new case of mesh TestUnsignedAnswers got 504 before and gets 502.

--- a/blocks/chunked.go
+++ b/blocks/chunked.go
@@ -81,17 +81,22 @@
 			continue
 		}
 		name, _, found := bytes.Cut(line, []byte(":"))
-		if !found || len(name) == 0 || bytes.ContainsFunc(name, isNoToken) {
+		if !found || !isToken(name) {
 			return false
 		}
 	}
 	return true
 }
 
-// isNoToken reports whether a byte may not be in the name of a field (RFC 9110, section 5.6.2).
-func isNoToken(r rune) bool {
-	letter := 'a' <= r|0x20 && r|0x20 <= 'z'
-	return !letter && (r < '0' || r > '9') && !strings.ContainsRune("!#$%&'*+-.^_`|~", r)
+// isToken reports whether a text can be the name of a field (RFC 9110, section 5.6.2).
+func isToken(name []byte) bool {
+	for _, b := range name {
+		letter := 'a' <= b|0x20 && b|0x20 <= 'z'
+		if !letter && (b < '0' || b > '9') && strings.IndexByte("!#$%&'*+-.^_`|~", b) < 0 {
+			return false
+		}
+	}
+	return len(name) > 0
 }
 
 // isControl reports whether a byte may not be in the value of a field.
--- a/mesh/unsigned_test.go
+++ b/mesh/unsigned_test.go
@@ -155,6 +155,7 @@
 		{"200 whose body stops short", withLength(200, "", "page"+stopsShort), broken},
 		{"signed 200 with an encoding that nobody asked for", withLength(200, signed+"Content-Encoding: gzip\r\n", "page"), broken},
 		{"long signed 200 with an encoding that nobody asked for", withLength(200, signed+"Content-Encoding: gzip\r\n", long), broken},
+		{"signed 200 with such an encoding whose body stops short", withLength(200, signed+"Content-Encoding: gzip\r\n", "page"+stopsShort), broken},
 		{"204", head(204, "\r\n"), broken},
 		{"302", withLength(302, "Location: /\r\n", ""), broken},
 		{"400", withLength(400, "", "page"), broken},
--- a/server/panic_test.go
+++ b/server/panic_test.go
@@ -76,7 +76,7 @@
 				Address: netip.MustParseAddrPort(s.Listener.Addr().String()), Connections: 1, OmitNodeHeaders: true,
 				HeaderMemory: panickingMemory{header, panicOn(c.header)}, Memory: panickingMemory{body, panicOn(c.body)},
 				Match:          func(*prim.Request, http.Header) Match { match(); return Matching },
-				Buffers:        func(int, http.Header) bool { buffers(); return true },
+				Buffers:        func(*prim.Request, *prim.Answer) bool { buffers(); return true },
 				OnBrokenAnswer: func(*prim.BrokenAnswerError) { onBroken() },
 			})
 			for range 2 {
--- a/server/server.go
+++ b/server/server.go
@@ -62,9 +62,10 @@
 	// Match compares a response with the given headers with the request; nil compares
 	// HeaderSequence if the server returns it.
 	Match func(r *prim.Request, answer http.Header) Match
-	// Buffers reports whether the body of a response with the given status and header is read
-	// before Do returns; nil means all. Otherwise Do returns an answer with a Rest at once.
-	Buffers func(status int, answer http.Header) bool
+	// Buffers reports whether the body of an answer, of which only the status and the header are
+	// known, is read before Do returns; nil means all. Otherwise Do returns an answer with a Rest
+	// at once.
+	Buffers func(*prim.Request, *prim.Answer) bool
 	// Memory accounts for buffered responses, and HeaderMemory for their headers; nil means no
 	// bound. Without memory a body is passed on while it is read, and an answer whose header
 	// is longer than usual is lost.
@@ -256,7 +257,7 @@
 	if match == Unidentified && conn.requests > 1 {
 		return body, match, false, errUnidentified
 	}
-	if match == Different || c.config.Buffers == nil || c.config.Buffers(resp.StatusCode, resp.Header) {
+	if match == Different || c.config.Buffers == nil || c.config.Buffers(r, &prim.Answer{Status: resp.StatusCode, Header: resp.Header}) {
 		if complete, err = body.collect(resp); err != nil {
 			return body, match, false, err
 		}
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -214,7 +214,9 @@
 	}))
 	defer s.Close()
 	c := server.New(server.Config{Address: netip.MustParseAddrPort(s.Listener.Addr().String()), Connections: 1,
-		Buffers: func(status int, answer http.Header) bool { return status == 200 && answer.Get("Content-Length") != "" }})
+		Buffers: func(_ *prim.Request, a *prim.Answer) bool {
+			return a.Status == 200 && a.Header.Get("Content-Length") != ""
+		}})
 	defer c.Close()
 	for range 2 {
 		a, err := c.Do(context.Background(), newRequest("GET", "/endless"))
