Tests of answers: one way to send, calls of servers, a file of their own

Requests of package mesh's tests are built by one function, and TestBrokenAnswer uses the same routes and client as TestUnsignedAnswers. No check has changed.

--- a/mesh/broken_test.go
+++ b/mesh/broken_test.go
@@ -37,25 +37,6 @@
 	s.closed <- err
 }
 
-// sendTo sends a request to the node of host 0.
-func sendTo(t *testing.T, path, id string) (status int, body string) {
-	t.Helper()
-	q, err := http.NewRequest("POST", "http://"+address(1, portCallers)+path, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	q.Host = "a.example"
-	q.Header.Set("X-Attempt-Id", id)
-	q.Header.Set("X-Deadline-Ms", "1000")
-	resp, err := http.DefaultClient.Do(q)
-	if err != nil {
-		return 0, err.Error()
-	}
-	defer resp.Body.Close()
-	b, _ := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(b)
-}
-
 // Guards against an answer with an invalid status that is skipped like an informational
 // one: the caller would get the next answer on the connection, or none until its deadline,
 // and the connection would stay in use. The request may have run, so the status must not
@@ -63,14 +44,7 @@
 func TestBrokenAnswer(t *testing.T) {
 	is := is.New(t)
 	d := newDeployment(t, 2)
-	d.store.Put("op/config", map[string]any{
-		"version": "00000002",
-		"routes": map[string]any{"columns": []string{"name", "host", "prefix", "kind", "timeout_ms", "slo_ms", "priority", "service", "attempts"},
-			"rows": [][]any{{"r", "a.example", "/r/", "unsafe", 5000, 500, 1, "orders", 2}, {"s", "a.example", "/s/", "safe", 5000, 500, 1, "orders", 2}}},
-		"services": map[string]any{"columns": []string{"name", "health_path", "max_conns", "warmup_s", "warmup_per_s"},
-			"rows": [][]any{{"orders", "/healthz", 100, 1, 1000}}},
-	})
-	d.waitFor(func() bool { return d.nodes[0].Status().Routing == 2 && d.nodes[1].Status().Routing == 2 })
+	d.publishSafeAndUnsafe()
 	const next = "HTTP/1.1 200 OK\r\nID\r\nContent-Length: 4\r\n\r\nnext"
 	for n, c := range []struct{ name, text string }{
 		{"000", "HTTP/1.1 000 \r\nID\r\nContent-Length: 0\r\n\r\n"},
@@ -90,12 +64,12 @@
 			d.servers[0] = d.serve(address(1, portServer), raw)
 			d.publishEntry(1, "draining") // so that the request reaches the first server
 			d.waitFor(func() bool { return d.nodes[1].Status().Load.Leaving })
-			d.waitFor(func() bool { code, _ := sendTo(t, "/r/x", "warm"); return code == 200 })
+			d.waitFor(func() bool { return d.ask(0, "/r/x", "warm").status == 200 })
 
 			broken := d.nodes[0].recorder.Snapshot().Counters["BrokenAnswers"]
-			status, body := sendTo(t, "/r/broken", fmt.Sprint("r-", n)) // on a used connection
-			is.Equal(status, http.StatusBadGateway)
-			is.Equal(body, "")
+			got := d.ask(0, "/r/broken", fmt.Sprint("r-", n)) // on a used connection to the server
+			is.Equal(got.status, http.StatusBadGateway)
+			is.Equal(got.body, "")
 			select {
 			case <-raw.closed:
 			case <-time.After(5 * time.Second):
@@ -108,9 +82,8 @@
 			d.waitFor(func() bool {
 				return len(d.nodes[0].roster.Placement().InService("orders")) == 2 && !d.nodes[0].relay.Last("127.0.4.2").Leaving
 			})
-			d.waitFor(func() bool { code, _ := sendTo(t, "/s/x", "warm"); return code == 200 })
-			status, _ = sendTo(t, "/s/broken", fmt.Sprint("s-", n))
-			is.Equal(status, http.StatusOK) // answered by the other server
+			d.waitFor(func() bool { return d.ask(0, "/s/x", "warm").status == 200 })
+			is.Equal(d.ask(0, "/s/broken", fmt.Sprint("s-", n)).status, http.StatusOK) // answered by the other server
 			is.Equal(d.ranAt(fmt.Sprint("s-", n)), 1)
 		})
 	}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -132,6 +132,26 @@
 	})
 }
 
+// publishSafeAndUnsafe publishes routes with the prefixes /s/ and /r/ for safe and unsafe requests.
+func (d *deployment) publishSafeAndUnsafe() {
+	d.t.Helper()
+	d.store.Put("op/config", map[string]any{
+		"version": "00000002",
+		"routes": map[string]any{"columns": []string{"name", "host", "prefix", "kind", "timeout_ms", "slo_ms", "priority", "service", "attempts"},
+			"rows": [][]any{{"r", "a.example", "/r/", "unsafe", 5000, 500, 1, "orders", 2}, {"s", "a.example", "/s/", "safe", 5000, 500, 1, "orders", 2}}},
+		"services": map[string]any{"columns": []string{"name", "health_path", "max_conns", "warmup_s", "warmup_per_s"},
+			"rows": [][]any{{"orders", "/healthz", 100, 1, 1000}}},
+	})
+	d.waitFor(func() bool {
+		for _, n := range d.nodes {
+			if n.Status().Routing != 2 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // settings returns the settings of a host.
 func (d *deployment) settings(i int) platform.Settings {
 	parse := netip.MustParseAddrPort
@@ -177,17 +197,49 @@
 	}
 }
 
-// send sends a request to the node of a host.
-func (d *deployment) send(i int, id string) (int, string) {
+// clientAnswer is what a client got; err is set if it is not complete.
+type clientAnswer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// request returns a request to the node of a host.
+func (d *deployment) request(i int, path, id, body string) *http.Request {
 	d.t.Helper()
-	q, err := http.NewRequest("POST", "http://"+address(i+1, portCallers)+"/r/x", strings.NewReader("body"))
+	q, err := http.NewRequest("POST", "http://"+address(i+1, portCallers)+path, strings.NewReader(body))
 	if err != nil {
 		d.t.Fatal(err)
 	}
 	q.Host = "a.example"
 	q.Header.Set("X-Attempt-Id", id)
 	q.Header.Set("X-Deadline-Ms", "5000")
-	resp, err := http.DefaultClient.Do(q)
+	return q
+}
+
+// ask sends a request on a connection of its own, with header fields as alternating names and
+// values, to the node of a host. Nothing is done to the answer.
+func (d *deployment) ask(i int, path, id string, fields ...string) clientAnswer {
+	d.t.Helper()
+	q := d.request(i, path, id, "")
+	for i := 0; i+1 < len(fields); i += 2 {
+		q.Header.Set(fields[i], fields[i+1])
+	}
+	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: true}
+	resp, err := transport.RoundTrip(q)
+	if err != nil {
+		return clientAnswer{err: err}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return clientAnswer{resp.StatusCode, resp.Header, string(b), err}
+}
+
+// send sends a request to the node of a host, on a connection that may have been used.
+func (d *deployment) send(i int, id string) (int, string) {
+	d.t.Helper()
+	resp, err := http.DefaultClient.Do(d.request(i, "/r/x", id, "body"))
 	if err != nil {
 		return 0, err.Error()
 	}
--- a/mesh/unsigned_test.go
+++ b/mesh/unsigned_test.go
@@ -56,57 +56,6 @@
 	return f.arrivals[id]
 }
 
-// clientAnswer is what a client got; err is set if it is not complete.
-type clientAnswer struct {
-	status int
-	header http.Header
-	body   string
-	err    error
-}
-
-// ask sends a request with header fields, alternating names and values, to the node of a host.
-func (d *deployment) ask(i int, path, id string, fields ...string) (a clientAnswer) {
-	d.t.Helper()
-	q, err := http.NewRequest("POST", "http://"+address(i+1, portCallers)+path, nil)
-	if err != nil {
-		d.t.Fatal(err)
-	}
-	q.Host = "a.example"
-	q.Header.Set("X-Attempt-Id", id)
-	q.Header.Set("X-Deadline-Ms", "5000")
-	for i := 0; i+1 < len(fields); i += 2 {
-		q.Header.Set(fields[i], fields[i+1])
-	}
-	client := http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
-	resp, err := client.Do(q)
-	if err != nil {
-		return clientAnswer{err: err}
-	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(resp.Body)
-	return clientAnswer{resp.StatusCode, resp.Header, string(b), err}
-}
-
-// publishSafeAndUnsafe publishes routes with the prefixes /s/ and /r/ for safe and unsafe requests.
-func (d *deployment) publishSafeAndUnsafe() {
-	d.t.Helper()
-	d.store.Put("op/config", map[string]any{
-		"version": "00000002",
-		"routes": map[string]any{"columns": []string{"name", "host", "prefix", "kind", "timeout_ms", "slo_ms", "priority", "service", "attempts"},
-			"rows": [][]any{{"r", "a.example", "/r/", "unsafe", 5000, 500, 1, "orders", 2}, {"s", "a.example", "/s/", "safe", 5000, 500, 1, "orders", 2}}},
-		"services": map[string]any{"columns": []string{"name", "health_path", "max_conns", "warmup_s", "warmup_per_s"},
-			"rows": [][]any{{"orders", "/healthz", 100, 1, 1000}}},
-	})
-	d.waitFor(func() bool {
-		for _, n := range d.nodes {
-			if n.Status().Routing != 2 {
-				return false
-			}
-		}
-		return true
-	})
-}
-
 // Guards against an answer without the server's signature that reaches a client: a success would
 // be taken for the server's, and 429 or 503 for the promise that the request has not run, after
 // which the client repeats it. Also guards against waiting until the deadline, which ends with
@@ -249,3 +198,30 @@
 	is.Equal(got.body, "page")
 	is.Equal(d.ask(0, "/r/0", "not asked").status, http.StatusBadGateway)
 }
+
+// Guards against an unsigned answer that reaches a server as the answer to a call of its own: 503
+// would tell it that the call has not run, so that it makes the call again.
+func TestUnsignedAnswerToCallOfServer(t *testing.T) {
+	is := is.New(t)
+	answers := firstAnswers{arrivals: make(map[string]int), texts: []string{"HTTP/1.1 503 x\r\nID\r\nContent-Length: 4\r\n\r\npage"}}
+	d := newDeployment(t, 1)
+	d.servers[0].Close()
+	called := answers.of(d.apps[0])
+	d.servers[0] = d.serve(address(1, portServer), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/r/calling" {
+			called.ServeHTTP(w, r)
+			return
+		}
+		got := d.ask(0, "/r/0", "call")
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		w.Header().Set("X-Response-Seal", "seal")
+		w.WriteHeader(http.StatusInternalServerError)
+		fmt.Fprint(w, got.status, got.body)
+	}))
+	d.waitFor(func() bool { return d.ask(0, "/r/x", "warm").status == 200 })
+	got := d.ask(0, "/r/calling", "calling")
+	is.Equal(got.status, http.StatusInternalServerError)
+	is.Equal(got.header.Get("X-Response-Seal"), "seal")
+	is.Equal(got.body, "502")
+	is.Equal(answers.arrivalsOf("call"), 1)
+}
--- a/mesh/verify_test.go
+++ b/mesh/verify_test.go
@@ -40,13 +40,8 @@
 // sendWithKey sends a request that claims to be another customer's, and returns its status.
 func (d *deployment) sendWithKey(i int, path, id, key string) int {
 	d.t.Helper()
-	q, err := http.NewRequest("GET", "http://"+address(i+1, portCallers)+path, nil)
-	if err != nil {
-		d.t.Fatal(err)
-	}
-	q.Host = "a.example"
-	q.Header.Set("X-Attempt-Id", id)
-	q.Header.Set("X-Deadline-Ms", "5000")
+	q := d.request(i, path, id, "")
+	q.Method = http.MethodGet
 	q.Header.Set("X-Tenant", "forged")
 	if key != "" {
 		q.Header.Set("Authorization", "Bearer "+key)
--- a/server/faulty_test.go
+++ b/server/faulty_test.go
@@ -290,3 +290,28 @@
 		})
 	}
 }
+
+// Guards against a connection that stays counted after trailers that the parser can't take, in
+// answers that are buffered and in those that are passed on.
+func TestMalformedTrailersGiveBackConnection(t *testing.T) {
+	for _, size := range []int{1, 2 << 20} {
+		is := is.New(t)
+		address := listen(t, func(conn net.Conn) {
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\nA: b\n\nC: d\r\n\r\n", size, strings.Repeat("x", size))
+			}
+		})
+		client := server.New(server.Config{Address: address, Connections: 1})
+		for range 3 {
+			a, err := client.Do(context.Background(), newRequest("GET", "/"))
+			if err == nil {
+				is.True(a.Rest != nil)
+				_, err = io.Copy(io.Discard, a.Rest)
+				is.Equal(err, io.ErrUnexpectedEOF)
+				a.Drop()
+			}
+			is.Equal(prim.OutcomeOf(err), prim.Unknown)
+			is.Equal(client.Status().Open, 0)
+		}
+	}
+}
--- a/server/panic_test.go
+++ b/server/panic_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -93,40 +92,3 @@
 		})
 	}
 }
-
-// Guards against a connection that stays counted after trailers that the parser can't take, in
-// answers that are buffered and in those that are passed on.
-func TestMalformedTrailersGiveBackConnection(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	size := 0
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			conn.Read(make([]byte, 1<<10))
-			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\nA: b\n\nC: d\r\n\r\n", size, strings.Repeat("x", size))
-			conn.Close()
-		}
-	}()
-	for _, size = range []int{1, 2 << 20} {
-		is := is.New(t)
-		client := New(Config{Address: netip.MustParseAddrPort(l.Addr().String()), Connections: 1})
-		for range 3 {
-			a, err := client.Do(context.Background(), &prim.Request{Method: "GET", Path: "/", Deadline: time.Now().Add(time.Minute)})
-			if err == nil {
-				is.True(a.Rest != nil)
-				_, err = io.Copy(io.Discard, a.Rest)
-				is.Equal(err, io.ErrUnexpectedEOF)
-				a.Drop()
-			}
-			is.True(prim.OutcomeOf(err) == prim.Unknown)
-			is.Equal(client.Status().Open, 0)
-		}
-	}
-}
