mesh: test the check of answers from nodes of earlier versions

relay.Config.CheckAnswer was tested with a stand-in only; nothing showed that the mesh sets it. TestUnsignedAnswerFromEarlierVersion does, through the link of a node whose owner passes on any answer.

--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -52,6 +52,7 @@
 	strictRevoke bool
 	storeOf      map[int]string
 	retryExtra   float64 // Settings.RetryExtra, 0 for 50
+	beforeRun    func(i int, n *Node)
 }
 
 func address(i, port int) string { return fmt.Sprintf("127.0.4.%d:%d", i, port) }
@@ -174,6 +175,9 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
+	if d.beforeRun != nil {
+		d.beforeRun(i, n)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- n.Run(ctx) }()
--- a/mesh/unsigned_test.go
+++ b/mesh/unsigned_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,6 +11,9 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	prim "github.com/primrosethread/primrosethread"
+	"github.com/primrosethread/primrosethread/owner"
 )
 
 // firstAnswers replaces the answers of servers to the first arrival of each request whose path
@@ -225,3 +229,27 @@
 	is.Equal(got.body, "502")
 	is.Equal(answers.arrivalsOf("call"), 1)
 }
+
+// uncheckedServer is the server of a node of an earlier version, which passes on any answer.
+type uncheckedServer struct{}
+
+func (uncheckedServer) Do(context.Context, *prim.Request) (*prim.Answer, error) {
+	return &prim.Answer{Status: http.StatusServiceUnavailable, Header: make(http.Header), Body: []byte("page")}, nil
+}
+
+// Guards against an unsigned answer that a node of an earlier version passes on to this one.
+func TestUnsignedAnswerFromEarlierVersion(t *testing.T) {
+	is := is.New(t)
+	d := newDeploymentWith(t, deployment{beforeRun: func(i int, n *Node) {
+		if i == 0 {
+			n.peers.SetLocal(owner.New(owner.Config{Host: n.config.Settings.Host, Server: uncheckedServer{}, Admitter: n.admitter}))
+		}
+	}}, 2)
+	d.publishEntry(1, "draining") // requests at host 1 go through the node of host 0
+	d.waitFor(func() bool { return d.nodes[1].Status().Load.Leaving })
+	got := d.ask(1, "/r/x", "unsigned")
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusBadGateway)
+	is.Equal(got.body, "")
+	is.Equal(d.nodes[1].recorder.Snapshot().Counters["BrokenAnswers"], int64(1))
+}
