Tests: each new guarantee seen to fail without its mechanism

Tests had missed these, and now fail without them: the attempts of the route after a rejected answer (the case was bound by the budget as well), the memory of a call that is refused as one too many, the place of Commit on a link after a panic, and the end of a request's context, neither before its streamed answer has been read nor long after a panic. Two header fields were excluded twice in server; removeHopByHopHeaders does it.

--- a/peers/memory_test.go
+++ b/peers/memory_test.go
@@ -223,3 +223,42 @@
 		runtime.GC()
 	}
 }
+
+// Guards against memory that stays reserved for the frame of a call that is refused since too many
+// are in progress.
+func TestRefusedCallReturnsMemory(t *testing.T) {
+	is := is.New(t)
+	budget := memory.New(memory.Config{Bytes: 10 << 20})
+	f := newFleet()
+	entered, release := make(chan struct{}), make(chan struct{})
+	b, err := peers.New(peers.Config{
+		Self: "b", Instance: prim.NewInstance(), Key: key, Resolve: f.resolve, Memory: budget, MaxCalls: 1,
+		Local: &fakeOwner{run: func(ctx context.Context, r *prim.Request) (*prim.Answer, error) {
+			close(entered)
+			<-release
+			return echo(ctx, r)
+		}},
+	})
+	is.NoErr(err)
+	s := httptest.NewServer(b.Handler())
+	t.Cleanup(func() {
+		b.Close()
+		s.Close()
+	})
+	f.addrs["b"] = netip.MustParseAddrPort(s.Listener.Addr().String())
+	a := f.start(t, "a", key, nil)
+	first := make(chan error, 1)
+	go func() {
+		_, err := a.Owner("b").Dispatch(t.Context(), request("/first"))
+		first <- err
+	}()
+	<-entered
+	held := budget.Status().Reserved
+	r := request("/second")
+	r.Body = make([]byte, 64<<10)
+	_, err = a.Owner("b").Dispatch(t.Context(), r)
+	is.Equal(prim.OutcomeOf(err), prim.NotRun)
+	is.Equal(budget.Status().Reserved, held)
+	close(release)
+	is.NoErr(<-first)
+}
--- a/peers/panic_test.go
+++ b/peers/panic_test.go
@@ -84,6 +84,11 @@
 
 func (m *brittleMemory) Release(n int) { m.used.Add(int64(-n)) }
 
+// brittleContext is a context whose Deadline panics.
+type brittleContext struct{ context.Context }
+
+func (brittleContext) Deadline() (time.Time, bool) { panic("test") }
+
 // Guards against a link that nothing can be sent on, and calls that stay counted on it, after a
 // panic while a request is sent.
 func TestPanicReleasesLink(t *testing.T) {
@@ -117,6 +122,12 @@
 			return err
 		}) != nil)
 		memory.brittle.Store(false)
+		reservation, err := a.Owner("b").Reserve(t.Context(), request("/x"))
+		is.NoErr(err)
+		is.True(g.Run(func() error {
+			_, err := reservation.Commit(brittleContext{t.Context()})
+			return err
+		}) != nil)
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		answer, err := a.Owner("b").Dispatch(ctx, request("/y"))
 		cancel()
@@ -124,5 +135,5 @@
 		is.Equal(string(answer.Body), "/y")
 		is.Equal(memory.used.Load(), int64(0))
 	}
-	is.Equal(g.Panics(), int64(6))
+	is.Equal(g.Panics(), int64(9))
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -140,14 +142,15 @@
 	for _, c := range []struct {
 		name                 string
 		idempotent           bool
+		attempts             int // of the route
 		rejected             int // answers
 		dispatches, requests int
 		outcome              prim.Outcome
 	}{
-		{"idempotent", true, 1, 2, 1, prim.Done},
-		{"not idempotent", false, 1, 1, 1, prim.Unknown},
-		{"idempotent, all answers", true, 9, 3, 1, prim.Unknown},        // the attempts of the route
-		{"idempotent, no budget left", true, 9, 3 + 1, 2, prim.Unknown}, // newFleet allows two repeats
+		{"idempotent", true, 3, 1, 2, 1, prim.Done},
+		{"not idempotent", false, 3, 1, 1, 1, prim.Unknown},
+		{"idempotent, no attempts left", true, 2, 9, 2, 1, prim.Unknown},
+		{"idempotent, no budget left", true, 3, 9, 3 + 1, 2, prim.Unknown}, // newFleet allows two repeats
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -171,7 +174,9 @@
 			var a *prim.Answer
 			var err error
 			for range c.requests {
-				a, err = r.Do(context.Background(), newRequest(c.idempotent))
+				q := newRequest(c.idempotent)
+				q.Attempts = c.attempts
+				a, err = r.Do(context.Background(), q)
 			}
 			is.Equal(prim.OutcomeOf(err), c.outcome)
 			is.Equal(a != nil, c.outcome == prim.Done)
@@ -215,6 +220,43 @@
 	}
 }
 
+// Guards against the context of a request that stays until the deadline after the answer or a panic,
+// and against one that ends while its answer is still being read.
+func TestContextEndsWithRequest(t *testing.T) {
+	is := is.New(t)
+	f, r := newFleet()
+	var ctx context.Context
+	answer := func(rest io.ReadCloser) func(context.Context, *prim.Request) (*prim.Answer, error) {
+		return func(c context.Context, _ *prim.Request) (*prim.Answer, error) {
+			ctx = c
+			a := newAnswer("", 200)
+			a.Rest = rest
+			return a, nil
+		}
+	}
+	do := func(run func(context.Context, *prim.Request) (*prim.Answer, error)) (a *prim.Answer, panicked bool) {
+		for _, o := range f.owners {
+			o.run = run
+		}
+		defer func() { panicked = recover() != nil }()
+		a, err := r.Do(context.Background(), newRequest(false))
+		is.NoErr(err)
+		return a, false
+	}
+	do(answer(nil))
+	is.Equal(ctx.Err(), context.Canceled)
+	a, _ := do(answer(io.NopCloser(strings.NewReader("rest"))))
+	is.NoErr(ctx.Err())
+	a.Rest.Close()
+	is.Equal(ctx.Err(), context.Canceled)
+	_, panicked := do(func(c context.Context, _ *prim.Request) (*prim.Answer, error) {
+		ctx = c
+		panic("test")
+	})
+	is.True(panicked)
+	is.Equal(ctx.Err(), context.Canceled)
+}
+
 // Guards against a failed idempotent request that is not retried at another server,
 // and against retries at the same server or beyond the attempts of the route.
 func TestIdempotentIsRepeatedElsewhere(t *testing.T) {
--- a/server/request.go
+++ b/server/request.go
@@ -13,9 +13,8 @@
 	prim "github.com/primrosethread/primrosethread"
 )
 
-// excludedFields are the header fields that writeRequest writes itself, or that concern the
-// framing of the request as it was received.
-var excludedFields = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Trailer": true}
+// ownFields are the header fields that writeRequest writes itself.
+var ownFields = map[string]bool{"Host": true, "Content-Length": true}
 
 var errInvalidRequest = errors.New("the method or the authority of the request has a space or a control byte")
 
@@ -34,7 +33,7 @@
 	if len(r.Body) > 0 || method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch {
 		w.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
-	if err := c.header(r, conn).WriteSubset(w, excludedFields); err != nil {
+	if err := c.header(r, conn).WriteSubset(w, ownFields); err != nil {
 		return err
 	}
 	w.WriteString("\r\n")
