--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -723,6 +723,7 @@
 		return nil
 	}
 	idle := c.server.limits().IdleTimeout
+	began := time.Now()
 	// A deadline holds for later writes as well, up to a quarter longer, because setting it
 	// for each write costs more.
 	if !c.extendWrite(x, idle, idle/4) {
@@ -740,7 +741,7 @@
 		}
 		if n < minWriteBytes && !c.isGivenUp(x) {
 			c.server.count("ResponsesNotRead")
-			c.server.config.Logger.Info("client reads its response too slowly; connection closed", "Client", c.remoteAddr, "After", idle)
+			c.server.config.Logger.Info("client reads its response too slowly; connection closed", "Client", c.remoteAddr, "Waited", time.Since(began), "IdleTimeout", idle)
 			return err
 		}
 		if !c.extendWrite(x, idle, 0) {
--- a/placement.go
+++ b/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -144,6 +145,12 @@
 	return l
 }
 
+// LogValue implements slog.LogValuer.
+func (l ClientLimits) LogValue() slog.Value {
+	return slog.GroupValue(slog.Int("MaxHeaderBytes", l.MaxHeaderBytes), slog.Int("MaxBodyBytes", l.MaxBodyBytes),
+		slog.Duration("HeaderTimeout", l.HeaderTimeout), slog.Duration("IdleTimeout", l.IdleTimeout))
+}
+
 // Routing is one version of the operators' routes and services.
 type Routing struct {
 	Version  uint64
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -197,6 +197,9 @@
 		return false
 	}
 	r.log.Info("routes changed", "Version", v.Version, "Before", r.routing.Version, "Routes", len(v.Routes), "Revision", v.Revision, "Source", source)
+	if before, after := r.routing.Limits.WithDefaults(), v.Limits.WithDefaults(); before != after {
+		r.log.Info("limits for clients changed", "Version", v.Version, "Before", before, "After", after)
+	}
 	r.keepRouting(r.routing)
 	r.routing, r.routingReceivedAt = v, time.Now()
 	return true
