conns: a test that fails: an answer is lost after the idle timeout became shorter

Callers of a kept connection lose the answer of a request that has run, and the connection, beside a change of the configuration.

--- a/conns/ahead_test.go
+++ b/conns/ahead_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -117,6 +118,44 @@
 	})
 }
 
+// Guards against an answer that is lost, with its connection, because the idle timeout of the limits became shorter.
+func TestLongAnswerAfterLowerIdleTimeout(t *testing.T) {
+	is := is.New(t)
+	var idle atomic.Int64
+	idle.Store(int64(time.Minute))
+	limits := func() prim.ClientLimits {
+		return prim.ClientLimits{HeaderTimeout: time.Minute, IdleTimeout: time.Duration(idle.Load())}
+	}
+	const bytes = 6000 // more than the output buffer of package httpd
+	l := serveAhead(t, Bounds{Limits: limits}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/plain")
+		if r.URL.Path == "/short" {
+			w.Header().Set("Content-Length", "1")
+			io.WriteString(w, "a")
+			return
+		}
+		time.Sleep(2 * time.Duration(idle.Load()))
+		w.Header().Set("Content-Length", strconv.Itoa(bytes))
+		io.WriteString(w, strings.Repeat("a", bytes))
+	}))
+	c := dialAhead(t, l)
+	defer c.Close()
+	in := bufio.NewReader(c)
+	receive := func() {
+		resp, err := http.ReadResponse(in, nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+	}
+	io.WriteString(c, "GET /short HTTP/1.1\r\nHost: a\r\n\r\n")
+	receive()
+	idle.Store(int64(50 * time.Millisecond))
+	// Both at once, so that the connection is never idle.
+	io.WriteString(c, "GET /short HTTP/1.1\r\nHost: a\r\n\r\nGET /exclusive HTTP/1.1\r\nHost: a\r\n\r\n")
+	receive()
+	receive()
+}
+
 // Guards against a connection that is reported as idle, so that it may be closed for a new
 // one, when a request that has been read is about to start.
 func TestNotIdleBeforeWaitingRequest(t *testing.T) {
