conns: a test waits for the request that it means

All handlers received from one channel, and the handler of the next request, which runs beside the one in front, may begin to receive first. It then got the value, and the response that the client waited for was never written.

Each request has a channel of its own.

--- a/conns/ahead_test.go
+++ b/conns/ahead_test.go
@@ -56,24 +56,34 @@
 func TestHeadersOfPipelineAreNotAddedUp(t *testing.T) {
 	is := is.New(t)
 	m := newMemory(256 << 10)
-	next := make(chan struct{})
-	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { <-next })
+	const n = 100
+	// Each request has its own channel: that of the next one may begin to wait first.
+	release := make([]chan struct{}, n+1)
+	for i := range release {
+		release[i] = make(chan struct{})
+	}
+	h := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		i, err := strconv.Atoi(r.URL.Path[1:])
+		is.NoErr(err)
+		<-release[i]
+	})
 	l := serveAhead(t, Bounds{Memory: m, ConnectionBytes: 20 << 10}, h)
 	c := dialAhead(t, l)
 	defer c.Close()
 	in := bufio.NewReader(c)
-	request := "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 2<<10) + "\r\n\r\n"
-	io.WriteString(c, request)
-	const n = 100
-	for range n {
-		io.WriteString(c, request)
+	send := func(i int) {
+		fmt.Fprintf(c, "GET /%d HTTP/1.1\r\nHost: a\r\nX: %s\r\n\r\n", i, strings.Repeat("x", 2<<10))
+	}
+	send(0)
+	for i := range n {
+		send(i + 1)
 		time.Sleep(2 * time.Millisecond) // for the server to read it while the one before runs
-		next <- struct{}{}
+		close(release[i])
 		resp, err := http.ReadResponse(in, nil)
 		is.NoErr(err)
 		resp.Body.Close()
 	}
-	close(next)
+	close(release[n])
 }
 
 // Guards against a request that is lost, and whose bytes are waited for in a busy loop,
