conns: the server alone sets the write deadlines of connections that it reads ahead

Callers lost the answer of a request that had run, and with it their connection, beside a change of the configuration or some time after the start of a node (LOST).

Two layers set the write deadline of a socket. Package httpd sets it a quarter later than the idle timeout asks for and remembers it, so that most writes need no new one. Package conns set its own at each write of a single buffer, by the limits at that moment; a write of several buffers bypasses it, since net.Buffers finds the writev of the embedded TCP connection. With constant limits both deadlines lie in the future. After the idle timeout became shorter, from 90 s to 15 s when a node gets its first configuration, httpd still relied on the longer deadline while the socket had the one of the last short answer. An answer longer than the output buffer of 4 KiB that came later failed at once.

A connection whose server calls ReadNext leaves the write deadlines to it, as it does the read deadlines.

--- a/conns/bounds.go
+++ b/conns/bounds.go
@@ -248,16 +248,16 @@
 }
 
 // SetWriteDeadline implements net.Conn. A deadline in the past ends writes until another is
-// set; otherwise the connection sets deadlines itself.
+// set; otherwise the connection sets deadlines itself, unless the server does.
 func (c *conn) SetWriteDeadline(t time.Time) error {
 	c.writesEnded.Store(!t.IsZero() && !t.After(time.Now()))
 	return c.TCPConn.SetWriteDeadline(t)
 }
 
 // writeWithProgress writes until the client takes less than minWriteBytes in the idle
-// timeout.
+// timeout. A server that sets the write deadlines would not know of one that is set here.
 func (c *conn) writeWithProgress(b []byte) (n int, err error) {
-	if c.listener.bounds.Limits == nil {
+	if c.listener.bounds.Limits == nil || c.hasOwnDeadlines() {
 		return c.TCPConn.Write(b)
 	}
 	timeout := c.listener.bounds.Limits().IdleTimeout
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -235,7 +235,7 @@
 	used     bool       // a request has been served
 	reading  bool       // an idle connection is in Read, or the connection is in ReadNext
 	received bool       // a request has begun since the connection became idle, or since ReadNext was called
-	ahead    bool       // the server calls ReadNext
+	ahead    bool       // the server calls ReadNext and sets all deadlines
 	closing  bool       // closeIfIdle closes the connection; no request is read any more
 
 	waitingSince time.Time // when the connection became idle; zero while a request is handled
@@ -255,8 +255,8 @@
 
 // ReadNext is Read for the first bytes of a request. Servers that read them while earlier
 // requests of the connection are in progress have to call it instead of Read, since Read
-// goes by the state of the connection at its call. They set the read deadlines themselves,
-// and read no more than bufferedHeaderBytes ahead.
+// goes by the state of the connection at its call. They set all deadlines themselves, and
+// read no more than bufferedHeaderBytes ahead.
 func (c *conn) ReadNext(b []byte) (int, error) {
 	c.beginReadNext()
 	return c.readTracked(b)
@@ -296,6 +296,13 @@
 	return n, err
 }
 
+// hasOwnDeadlines reports whether the server sets all deadlines.
+func (c *conn) hasOwnDeadlines() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ahead
+}
+
 // beginIdleRead sets reading and returns true if the connection is idle.
 func (c *conn) beginIdleRead() bool {
 	c.mu.Lock()
