httpd: a shorter idle timeout applies to the writes of open connections

The deadline is set anew if it is later than the limits allow. TestLowerIdleTimeoutAppliesToWrites fails without it.

--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -751,14 +751,15 @@
 }
 
 // extendWrite makes the write deadline at least idle from now, and slack later if it has to be
-// set. It returns false if the response has been given up.
+// set. It is set as well if it is later than that, since the idle timeout may have become shorter.
+// It returns false if the response has been given up.
 func (c *conn) extendWrite(x *response, idle, slack time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if x != nil && x.givenUp {
 		return false
 	}
-	if until := time.Now().Add(idle); c.writeUntil.Before(until) {
+	if until := time.Now().Add(idle); c.writeUntil.Before(until) || c.writeUntil.After(until.Add(slack)) {
 		c.setWriteUntil(until.Add(slack))
 	}
 	return true
--- a/httpd/server_test.go
+++ b/httpd/server_test.go
@@ -479,6 +479,64 @@
 	is.NoErr(<-ended)
 }
 
+// deadlineListener calls functions after the deadlines of its connections were set.
+type deadlineListener struct {
+	net.Listener
+	onRead, onWrite func(time.Time)
+}
+
+// Accept implements net.Listener.
+func (l *deadlineListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &deadlineConn{c.(*net.TCPConn), l}, nil
+}
+
+type deadlineConn struct {
+	*net.TCPConn
+	listener *deadlineListener
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *deadlineConn) SetReadDeadline(t time.Time) error {
+	err := c.TCPConn.SetReadDeadline(t)
+	c.listener.onRead(t)
+	return err
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *deadlineConn) SetWriteDeadline(t time.Time) error {
+	err := c.TCPConn.SetWriteDeadline(t)
+	c.listener.onWrite(t)
+	return err
+}
+
+// Guards against a client that may read slowly for as long as an idle timeout allowed that has become shorter.
+func TestLowerIdleTimeoutAppliesToWrites(t *testing.T) {
+	is := is.New(t)
+	var idle, until atomic.Int64
+	idle.Store(int64(time.Minute))
+	base, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l := &deadlineListener{Listener: base, onRead: func(time.Time) {}, onWrite: func(at time.Time) { until.Store(at.UnixNano()) }}
+	s := New(Config{
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+		Limits:  func() prim.ClientLimits { return prim.ClientLimits{IdleTimeout: time.Duration(idle.Load())} },
+	})
+	go s.Serve(l)
+	defer s.Close()
+	c := dial(t, base.Addr().String())
+	for _, timeout := range []time.Duration{time.Minute, 10 * time.Second} {
+		idle.Store(int64(timeout))
+		c.send("/")
+		_, _, err := c.receive()
+		is.NoErr(err)
+		is.True(time.Until(time.Unix(0, until.Load())) <= timeout+timeout/4)
+	}
+}
+
 // Guards against connections that are never closed: idle, new, or in the middle of a header
 // block; and against closing those that still have time.
 func TestTimeouts(t *testing.T) {
