httpd: a longer idle timeout applies to connections that are idle

The end of the idle time was computed when the last request had been answered. After a configuration that allows more, clients may use the connection for longer, and the node closed it: a request that was sent meanwhile crossed the close and had to be sent again.

It is computed from the limits at present, again when it has passed.

--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -79,7 +79,7 @@
 	reading    bool        // a goroutine reads
 	waiting    bool        // it waits for the first byte of a request
 	holding    bool        // it waits until a request that it has read may start
-	idleUntil  time.Time   // end of the time without requests
+	idleSince  time.Time   // when the last request was answered, if used
 	until      time.Time   // when the read in progress ends; zero for never
 	armed      time.Time   // the read deadline that is set: not later than until
 }
@@ -105,7 +105,6 @@
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	c.in = bufio.NewReader(source{c})
 	c.setReceiveBuffer(receiveBytes)
-	c.idleUntil = c.acceptedAt.Add(s.limits().HeaderTimeout)
 	return c
 }
 
@@ -197,7 +196,7 @@
 	}
 	c.waiting = true
 	if len(c.queue) == 0 {
-		c.setUntil(c.idleUntil)
+		c.setUntil(c.idleUntil())
 	} else {
 		c.setUntil(time.Time{})
 	}
@@ -219,6 +218,16 @@
 	return c.discarded <= maxDiscardedBytes
 }
 
+// idleUntil returns the end of the time without requests, by the limits at present. The caller
+// holds c.mu.
+func (c *conn) idleUntil() time.Time {
+	limits := c.server.limits()
+	if !c.used {
+		return c.acceptedAt.Add(limits.HeaderTimeout)
+	}
+	return c.idleSince.Add(limits.IdleTimeout)
+}
+
 // setUntil sets the end of the read in progress. The deadline of the connection is set only
 // if it is later, since setting it for each request would cost more than a deadline that
 // passes early and is set again. The caller holds c.mu.
@@ -243,6 +252,9 @@
 func (c *conn) extend() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.waiting && len(c.queue) == 0 && !c.closing {
+		c.until = c.idleUntil() // the limits may have changed
+	}
 	if !c.until.IsZero() && !time.Now().Before(c.until) {
 		return false
 	}
@@ -641,14 +653,14 @@
 		c.close()
 		return
 	}
-	c.idleUntil = time.Now().Add(c.server.limits().IdleTimeout)
+	c.idleSince = time.Now()
 	if !c.holding {
 		// The connection is not idle if a request that has been read is about to start:
 		// conns could close it in favour of a new one.
 		c.setState(http.StateIdle)
 	}
 	if c.waiting {
-		c.setUntil(c.idleUntil)
+		c.setUntil(c.idleUntil())
 	}
 	c.wake()
 }
--- a/httpd/server_test.go
+++ b/httpd/server_test.go
@@ -513,6 +513,35 @@
 	return err
 }
 
+// Guards against a connection that is closed while its client may still use it, because the idle timeout became longer.
+func TestConnectionIsKeptAfterHigherIdleTimeout(t *testing.T) {
+	is := is.New(t)
+	const before = 50 * time.Millisecond
+	var idle atomic.Int64
+	idle.Store(int64(before))
+	base, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l := &deadlineListener{Listener: base, onWrite: func(time.Time) {}, onRead: func(at time.Time) {
+		if at.Before(time.Now().Add(before)) {
+			idle.Store(int64(time.Minute))
+		}
+	}}
+	s := New(Config{
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+		Limits:  func() prim.ClientLimits { return prim.ClientLimits{IdleTimeout: time.Duration(idle.Load())} },
+	})
+	go s.Serve(l)
+	defer s.Close()
+	c := dial(t, base.Addr().String())
+	for range 2 {
+		c.send("/")
+		_, _, err := c.receive()
+		is.NoErr(err)
+		time.Sleep(3 * before)
+	}
+	is.Equal(time.Duration(idle.Load()), time.Minute)
+}
+
 // Guards against a client that may read slowly for as long as an idle timeout allowed that has become shorter.
 func TestLowerIdleTimeoutAppliesToWrites(t *testing.T) {
 	is := is.New(t)
