--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -79,6 +80,7 @@
 	reading    bool        // a goroutine reads
 	waiting    bool        // it waits for the first byte of a request
 	holding    bool        // it waits until a request that it has read may start
+	unheld     bool        // there was no memory to wait for that
 	idleUntil  time.Time   // end of the time without requests
 	until      time.Time   // when the read in progress ends; zero for never
 	armed      time.Time   // the read deadline that is set: not later than until
@@ -291,6 +293,7 @@
 			return false
 		}
 		if !c.holdUnread() {
+			c.endWith(rejection(errNoMemory))
 			return false
 		}
 	}
@@ -364,17 +367,20 @@
 }
 
 // holdUnread is hold with a charge for what the client can send meanwhile. If there is no memory
-// for it, it doesn't wait: the responses in the queue are the last ones of the connection, and it
-// returns false. The caller holds c.mu, and the queue is not empty.
+// for it, it doesn't wait and returns false, now and later: the caller refuses the request that
+// would wait. The caller holds c.mu, and the queue is not empty.
 func (c *conn) holdUnread() bool {
 	m := c.server.config.Unread
 	if m == nil {
 		c.hold()
 		return true
 	}
+	if c.unheld {
+		return false
+	}
 	if !m.Reserve(unreadBytes) {
 		c.server.count("UnreadWithoutMemory")
-		c.ending, c.last = true, c.queue[len(c.queue)-1]
+		c.unheld = true
 		return false
 	}
 	c.hold()
@@ -406,13 +412,14 @@
 }
 
 // holdUntilAnswered waits until all requests have been answered. It returns false if nothing
-// more is to be read. The caller holds c.mu, which is not held while waiting.
+// more is to be read, or without memory to wait. The caller holds c.mu, which is not held while
+// waiting.
 func (c *conn) holdUntilAnswered() bool {
 	held := false
 	for len(c.queue) > 0 && !c.ending && !c.departed && c.holdUnread() {
 		held = true
 	}
-	if c.ending || c.departed {
+	if len(c.queue) > 0 || c.ending || c.departed {
 		return false
 	}
 	if held {
@@ -546,6 +553,18 @@
 	return len(c.queue) > 0 && c.queue[len(c.queue)-1] == x
 }
 
+// endWith queues a response that no handler made as the last one of the connection. Waiting for
+// its turn takes no goroutine, and the reader may discard what the client sends. The caller holds
+// c.mu, and the queue is not empty.
+func (c *conn) endWith(text string) {
+	x := &response{conn: c, cancel: func() {}, done: true, out: []byte(text)}
+	c.queue = append(c.queue, x)
+	c.ending, c.last = true, x
+	c.server.count("RequestsRejected")
+	status, _, _ := strings.Cut(text, "\r\n")
+	c.server.config.Logger.Info("request behind others rejected; no memory is left to wait for its turn", "Client", c.remoteAddr, "Response", status)
+}
+
 // endAfter makes a response the last one of the connection. The requests behind it count as
 // not read: those that run are cancelled, and no further one starts.
 func (c *conn) endAfter(x *response) {
@@ -560,7 +579,9 @@
 			c.last = x
 			for _, behind := range c.queue[i+1:] {
 				behind.cancel()
-				c.server.count("ReadAheadCancelled")
+				if behind.request != nil { // it ran
+					c.server.count("ReadAheadCancelled")
+				}
 			}
 			break
 		}
@@ -698,6 +719,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.holdUntilAnswered() {
+		if c.unheld && !c.ending && !c.departed {
+			c.endWith(response)
+			c.mu.Unlock()
+			c.awaitEnd()
+			c.mu.Lock()
+		}
 		return
 	}
 	c.ending = true
--- a/httpd/cost_test.go
+++ b/httpd/cost_test.go
@@ -135,10 +135,15 @@
 			close(g.gate("/1"))
 			_, _, err := c.receive()
 			is.NoErr(err)
-			_, _, err = c.receive()
-			is.Equal(err == nil, name == "room")
+			resp, err := http.ReadResponse(c.in, nil)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode == http.StatusOK, name == "room")
 			if name == "no room" {
-				is.True(err == io.EOF || err == io.ErrUnexpectedEOF) // closed, not reset
+				is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+				is.True(resp.Close)
+				_, err = c.in.ReadByte()
+				is.Equal(err, io.EOF)       // closed, not reset
+				is.Equal(len(g.started), 0) // the refused request does not run
 			}
 			c.Close()
 			awaitFree(t, budget)
--- a/httpd/parse.go
+++ b/httpd/parse.go
@@ -37,7 +37,9 @@
 	c.remain = max(0, limits.MaxHeaderBytes+headerSlack-c.in.Buffered())
 	head, _ = c.in.Peek(c.in.Buffered())
 	if !isComplete(head) {
-		head = c.readHead(limits.HeaderTimeout)
+		if head = c.readHead(limits.HeaderTimeout); head == nil {
+			return nil, nil, 0, errNoMemory
+		}
 	}
 	if held = c.holdRequest(head); held == 0 && c.server.config.Requests != nil {
 		return nil, nil, 0, errNoMemory
@@ -64,7 +66,7 @@
 }
 
 // readHead reads a header block and puts it back, for the parser. It ends early at an error,
-// which the parser then finds as well.
+// which the parser then finds as well. It returns nil without memory to wait for the rest.
 func (c *conn) readHead(timeout time.Duration) (head []byte) {
 	c.setReadUntil(time.Now().Add(timeout))
 	ahead := true
@@ -83,6 +85,9 @@
 			// What exceeds the input buffer is not accounted for while requests are in
 			// progress. conns accounts for headers on idle connections.
 			if !c.awaitAnswers() {
+				if c.isUnheld() {
+					return nil
+				}
 				break
 			}
 			ahead = false
@@ -105,6 +110,13 @@
 	return c.holdUntilAnswered()
 }
 
+// isUnheld reports whether there was no memory to wait.
+func (c *conn) isUnheld() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.unheld
+}
+
 // limitReadUntil is setReadUntil, unless the read in progress ends earlier.
 func (c *conn) limitReadUntil(t time.Time) {
 	c.mu.Lock()
--- /dev/null
+++ b/httpd/refusal_test.go
@@ -0,0 +1,104 @@
+package httpd
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	prim "github.com/primrosethread/primrosethread"
+)
+
+// fakeRecorder counts.
+type fakeRecorder struct {
+	prim.Recorder
+	mu     sync.Mutex
+	counts map[string]int64
+}
+
+func (r *fakeRecorder) Count(name string, n int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.counts == nil {
+		r.counts = make(map[string]int64)
+	}
+	r.counts[name] += n
+}
+
+func (r *fakeRecorder) count(name string) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.counts[name]
+}
+
+// await waits until something has been counted.
+func (r *fakeRecorder) await(t *testing.T, name string) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); r.count(name) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("nothing is counted as %s", name)
+		}
+	}
+}
+
+// Guards against a request that has been read behind others and gets no response because there
+// is no memory to wait for its turn.
+func TestRefusalWithoutMemoryToWait(t *testing.T) {
+	const get, rest = "GET /refused HTTP/1.1\r\nHost: a\r\n", "GET /unread HTTP/1.1\r\nHost: a\r\n\r\n"
+	for name, test := range map[string]struct {
+		ahead    int // requests that run
+		requests int // budget for requests
+		refused  string
+		status   int
+	}{
+		"runs alone":                {1, 1 << 20, "DELETE /refused HTTP/1.1\r\nHost: a\r\n\r\n", http.StatusServiceUnavailable},
+		"has a body":                {1, 1 << 20, "POST /refused HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody", http.StatusServiceUnavailable},
+		"behind the bound":          {3, 1 << 20, get + "\r\n", http.StatusServiceUnavailable},
+		"no memory for the request": {1, 30 << 10, get + shortFields(1000, "1") + "\r\n", http.StatusServiceUnavailable},
+		"long header":               {1, 1 << 20, get + "X: " + strings.Repeat("x", 12<<10) + "\r\n\r\n", http.StatusServiceUnavailable},
+		"malformed":                 {1, 1 << 20, get + "a b: c\r\n\r\n", http.StatusBadRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g, counts, unread, requests := newGates(), &fakeRecorder{}, &fakeBudget{limit: unreadBytes - 1}, &fakeBudget{limit: test.requests}
+			_, address := startServer(t, Config{Handler: g, Unread: unread, Requests: requests, MaxReadAhead: 2, Recorder: counts,
+				Concurrent: func(r *http.Request) bool { return r.Method == http.MethodGet }})
+			c := dial(t, address)
+			paths := []string{"/1", "/2", "/3"}[:test.ahead]
+			c.send(paths...)
+			is.Equal(take(g.started, test.ahead), paths)
+			io.WriteString(c, test.refused+rest)
+			counts.await(t, "UnreadWithoutMemory")
+			for _, path := range paths {
+				close(g.gate(path))
+				body, last, err := c.receive()
+				is.NoErr(err)
+				is.Equal(body, path)
+				is.True(!last)
+			}
+			resp, err := http.ReadResponse(c.in, nil)
+			is.NoErr(err)
+			_, err = io.Copy(io.Discard, resp.Body)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, test.status)
+			is.True(resp.Close)
+			if test.status == http.StatusServiceUnavailable {
+				after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+				is.NoErr(err)
+				is.True(after > 0)
+			}
+			_, err = c.in.ReadByte()
+			is.Equal(err, io.EOF)
+			is.Equal(len(g.started), 0) // it does not run
+			is.Equal(counts.count("UnreadWithoutMemory"), int64(1))
+			is.Equal(counts.count("RequestsRejected"), int64(1))
+			awaitFree(t, requests)
+			awaitFree(t, unread)
+		})
+	}
+}
--- a/httpd/server.go
+++ b/httpd/server.go
@@ -37,8 +37,8 @@
 	// Requests accounts for requests, before they are parsed. One that finds no room gets 503.
 	// There is no limit if it is nil.
 	Requests prim.MemoryBudget
-	// Unread accounts for what clients send while their connections aren't read. A connection
-	// that finds no room is closed after the responses to the requests that are in progress.
+	// Unread accounts for what clients send while their connections aren't read. A request that
+	// finds no room while it waits for its turn gets 503 after the responses to the earlier ones.
 	// There is no limit if it is nil.
 	Unread prim.MemoryBudget
 	// Limits returns the limits in force. It may be nil, and fields that are zero have
