--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -80,7 +80,8 @@
 	reading    bool        // a goroutine reads
 	waiting    bool        // it waits for the first byte of a request
 	holding    bool        // it waits until a request that it has read may start
-	unheld     bool        // there was no memory to wait for that
+	unstarted  bool        // a request that has been read waits in holdUnread
+	unheld     bool        // there was no memory for that
 	idleUntil  time.Time   // end of the time without requests
 	until      time.Time   // when the read in progress ends; zero for never
 	armed      time.Time   // the read deadline that is set: not later than until
@@ -371,6 +372,8 @@
 // would wait. The caller holds c.mu, and the queue is not empty.
 func (c *conn) holdUnread() bool {
 	m := c.server.config.Unread
+	c.unstarted = true
+	defer func() { c.unstarted = false }()
 	if m == nil {
 		c.hold()
 		return true
@@ -542,15 +545,15 @@
 	c.queue = nil
 }
 
-// endsWith reports whether a response is the last one because the server is shut down: those
-// behind it have been accepted and are answered as well.
+// endsWith reports whether a response is the last one because the server is shut down: requests
+// behind it that run or wait for their turn have been accepted and are answered as well.
 func (c *conn) endsWith(x *response) bool {
 	if !c.server.closing.Load() {
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.queue) > 0 && c.queue[len(c.queue)-1] == x
+	return len(c.queue) > 0 && c.queue[len(c.queue)-1] == x && !c.unstarted
 }
 
 // endWith queues a response that no handler made as the last one of the connection. Waiting for
