--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -519,10 +519,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.waiting && len(c.queue) == 0 && (c.used || time.Since(c.acceptedAt) > newConnTimeout) {
-		c.close()
+		c.stopWaiting()
 	}
 }
 
+// stopWaiting ends the wait for a request, so that the goroutine that waits closes the connection.
+// If it has already read the beginning of a request, that is served. The caller holds c.mu.
+func (c *conn) stopWaiting() {
+	c.until = past
+	c.arm(past)
+}
+
 // abandon closes the connection and cancels its requests.
 func (c *conn) abandon() {
 	c.mu.Lock()
@@ -661,7 +668,7 @@
 // rest is called when all requests have been answered. The caller holds c.mu.
 func (c *conn) rest() {
 	c.short = false
-	if !c.reading || c.server.closing.Load() && c.waiting {
+	if !c.reading {
 		c.close()
 		return
 	}
@@ -671,7 +678,10 @@
 		// conns could close it in favour of a new one.
 		c.setState(http.StateIdle)
 	}
-	if c.waiting {
+	switch {
+	case c.waiting && c.server.closing.Load():
+		c.stopWaiting()
+	case c.waiting:
 		c.setUntil(c.idleUntil)
 	}
 	c.wake()
--- a/httpd/shutdown_test.go
+++ b/httpd/shutdown_test.go
@@ -1,9 +1,11 @@
 package httpd
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -79,3 +81,85 @@
 		})
 	}
 }
+
+// readHook calls a function between the read of bytes and its return.
+type readHook struct {
+	net.Conn
+	afterRead func()
+}
+
+func (c *readHook) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.afterRead()
+	}
+	return n, err
+}
+
+// Guards against a shutdown that closes a connection as idle whose next request has just been
+// read: when the shutdown begins, or when the earlier request has been answered during it.
+func TestShutdownServesRequestJustRead(t *testing.T) {
+	for name, during := range map[string]bool{"at its begin": false, "during it": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			canceled, cancel := context.WithCancel(t.Context())
+			cancel()
+			rest := make(chan struct{})
+			s := New(Config{Concurrent: always, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Content-Length", "2")
+				if r.URL.Path == "/1" && during {
+					http.NewResponseController(w).Flush() // the header can't say Connection: close any more
+					<-rest
+				}
+				io.WriteString(w, r.URL.Path)
+			})})
+			near, far := net.Pipe()
+			defer near.Close()
+			near.SetDeadline(time.Now().Add(20 * time.Second))
+			reads := 0
+			s.serve(&readHook{far, func() {
+				if reads++; reads == 2 {
+					s.Shutdown(canceled)
+					close(rest)
+					awaitAnswers(s)
+				}
+			}})
+			in := bufio.NewReader(near)
+			io.WriteString(near, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+			resp, err := http.ReadResponse(in, nil)
+			is.NoErr(err)
+			if !during {
+				awaitAnswers(s)
+			}
+			next := make(chan struct{})
+			go func() {
+				defer close(next)
+				io.WriteString(near, "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+			}()
+			body, err := io.ReadAll(resp.Body)
+			is.NoErr(err)
+			is.Equal(string(body), "/1")
+			is.True(!resp.Close)
+			resp, err = http.ReadResponse(in, nil)
+			is.NoErr(err)
+			body, err = io.ReadAll(resp.Body)
+			is.NoErr(err)
+			is.Equal(string(body), "/2")
+			is.True(resp.Close)
+			<-next
+			is.NoErr(s.Shutdown(t.Context()))
+		})
+	}
+}
+
+// awaitAnswers waits until no connection has a request in progress.
+func awaitAnswers(s *Server) {
+	for busy := true; busy; time.Sleep(time.Millisecond) {
+		busy = false
+		for _, c := range openConns(s) {
+			c.mu.Lock()
+			busy = busy || len(c.queue) > 0
+			c.mu.Unlock()
+		}
+	}
+}
