--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -361,10 +361,12 @@
 	c.holding = false
 	if departed {
 		c.depart()
-	} else if !c.closing {
+		return
+	}
+	if !c.closing {
 		c.until = time.Time{}
-		c.arm(time.Time{})
 	}
+	c.arm(c.until) // wake has set another one
 }
 
 // holdUnread is hold with a charge for what the client can send meanwhile. If there is no memory
@@ -482,8 +484,13 @@
 		c.depart()
 	}
 	// Requests in progress are cancelled if the client leaves, also when nothing more is read.
+	held := false
 	for len(c.queue) > 0 && !c.departed && !c.closed {
 		c.hold()
+		held = true
+	}
+	if held && !c.closing && !c.departed {
+		c.closeWrite() // the client may have sent more meanwhile
 	}
 	if c.closing && !c.closed && !c.departed {
 		c.linger()
--- a/httpd/limits_test.go
+++ b/httpd/limits_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -269,3 +270,41 @@
 		is.Equal(body, "answer")
 	}
 }
+
+// Guards against a reset that destroys responses on their way, because reading has ended before
+// them and what their client sent later is never read: after a header that did not arrive in time,
+// and after a long body of a request that is refused for lack of memory.
+func TestResponseArrivesAfterEndOfReading(t *testing.T) {
+	for name, test := range map[string]struct{ behind, late, refusal string }{
+		"header timeout": {"GET /2 HTTP/1.1\r\nX: ", "late", ""},
+		"long body":      {"POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 450000\r\n\r\n" + strings.Repeat("b", 400_000), strings.Repeat("b", 50_000), "HTTP/1.1 503"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const size = 4 << 20
+			started, answer := make(chan struct{}), make(chan struct{})
+			limits := func() prim.ClientLimits { return prim.ClientLimits{HeaderTimeout: 50 * time.Millisecond} }
+			s, address := startServer(t, Config{Limits: limits, Concurrent: always, Unread: &fakeBudget{}, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				close(started)
+				<-answer
+				w.Header().Set("Content-Length", strconv.Itoa(size))
+				w.Header()["Content-Type"] = nil
+				w.Write(make([]byte, size))
+			})})
+			c := dial(t, address)
+			c.send("/1")
+			<-started
+			io.WriteString(c, test.behind)
+			awaitHold(t, s)
+			io.WriteString(c, test.late)
+			close(answer)
+			body, _, err := c.receive()
+			is.NoErr(err)
+			is.Equal(len(body), size)
+			rest, err := io.ReadAll(c.in)
+			is.NoErr(err)
+			is.True(strings.HasPrefix(string(rest), test.refusal))
+			is.Equal(len(rest) > 0, test.refusal != "")
+		})
+	}
+}
