--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -291,6 +291,7 @@
 	defer c.mu.Unlock()
 	for !c.mayStart(x) {
 		if c.ending || c.departed {
+			c.countNotStarted()
 			return false
 		}
 		if !c.holdUnread() {
@@ -308,6 +309,13 @@
 	return true
 }
 
+// countNotStarted counts a request that has been read behind a last response. The caller holds c.mu.
+func (c *conn) countNotStarted() {
+	if c.last != nil {
+		c.server.count("ReadAheadNotStarted")
+	}
+}
+
 // mayStart reports whether the handler of a response may run, and if so reserves memory for
 // it. The caller holds c.mu.
 func (c *conn) mayStart(x *response) bool {
@@ -451,6 +459,9 @@
 // depart cancels all requests because the client has closed the connection or broken it.
 // The caller holds c.mu.
 func (c *conn) depart() {
+	if !c.departed && len(c.queue) > 0 {
+		c.server.count("ClientsDeparted")
+	}
 	c.departed = true
 	c.cancel()
 }
@@ -744,7 +755,9 @@
 			c.mu.Unlock()
 			c.awaitEnd()
 			c.mu.Lock()
+			return
 		}
+		c.countNotStarted()
 		return
 	}
 	c.ending = true
--- a/httpd/refusal_test.go
+++ b/httpd/refusal_test.go
@@ -102,3 +102,45 @@
 		})
 	}
 }
+
+// Guards against counters that don't tell why requests that had been read got no response.
+func TestUnansweredRequestsAreCounted(t *testing.T) {
+	for name, test := range map[string]struct {
+		waiting                           string
+		depart                            bool
+		cancelled, notStarted, departures int64
+	}{
+		"aborted response":        {"DELETE /3 HTTP/1.1\r\nHost: a\r\n\r\n", false, 1, 1, 0},
+		"aborted, malformed":      {"GET /3 HTTP/1.1\r\nHost: a\r\na b: c\r\n\r\n", false, 1, 1, 0},
+		"client closes":           {"DELETE /3 HTTP/1.1\r\nHost: a\r\n\r\n", true, 0, 0, 1},
+		"client closes, all read": {"", true, 0, 0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g, counts := newGates(), &fakeRecorder{}
+			s, address := startServer(t, Config{Handler: g, Recorder: counts, Concurrent: func(r *http.Request) bool { return r.Method == http.MethodGet }})
+			c := dial(t, address)
+			c.send("/abort", "/2")
+			is.Equal(take(g.started, 2), []string{"/2", "/abort"})
+			if test.waiting != "" {
+				io.WriteString(c, test.waiting)
+				awaitHold(t, s)
+			}
+			if test.depart {
+				c.Close()
+				is.Equal(take(g.ended, 2), []string{"/2", "/abort"})
+			} else {
+				close(g.gate("/abort"))
+				_, err := c.in.ReadByte()
+				is.Equal(err, io.EOF)
+				c.Close()
+			}
+			for len(openConns(s)) > 0 {
+				time.Sleep(time.Millisecond)
+			}
+			is.Equal(counts.count("ReadAheadCancelled"), test.cancelled)
+			is.Equal(counts.count("ReadAheadNotStarted"), test.notStarted)
+			is.Equal(counts.count("ClientsDeparted"), test.departures)
+		})
+	}
+}
