--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -80,7 +80,7 @@
 	reading    bool        // a goroutine reads
 	waiting    bool        // it waits for the first byte of a request
 	holding    bool        // it waits until a request that it has read may start
-	unstarted  bool        // a request that has been read waits in holdUnread
+	unstarted  bool        // a request waits that has been read before the server was shut down
 	unheld     bool        // there was no memory for that
 	idleUntil  time.Time   // end of the time without requests
 	until      time.Time   // when the read in progress ends; zero for never
@@ -289,6 +289,7 @@
 func (c *conn) admit(x *response) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	defer func() { c.unstarted = false }()
 	for !c.mayStart(x) {
 		if c.ending || c.departed {
 			c.countNotStarted()
@@ -382,8 +383,9 @@
 // would wait. The caller holds c.mu, and the queue is not empty.
 func (c *conn) holdUnread() bool {
 	m := c.server.config.Unread
-	c.unstarted = true
-	defer func() { c.unstarted = false }()
+	if !c.server.closing.Load() {
+		c.unstarted = true // until the caller stops waiting
+	}
 	if m == nil {
 		c.hold()
 		return true
@@ -432,6 +434,7 @@
 	for len(c.queue) > 0 && !c.ending && !c.departed && c.holdUnread() {
 		held = true
 	}
+	c.unstarted = false
 	if len(c.queue) > 0 || c.ending || c.departed {
 		return false
 	}
@@ -571,7 +574,8 @@
 }
 
 // endsWith reports whether a response is the last one because the server is shut down: requests
-// behind it that run or wait for their turn have been accepted and are answered as well.
+// behind it that run, or waited for their turn when the shutdown began, have been accepted and
+// are answered as well.
 func (c *conn) endsWith(x *response) bool {
 	if !c.server.closing.Load() {
 		return false
--- a/httpd/shutdown_test.go
+++ b/httpd/shutdown_test.go
@@ -163,3 +163,32 @@
 		}
 	}
 }
+
+// Guards against a shutdown that does not end while a client goes on sending requests.
+func TestShutdownEndsBehindWaitingRequest(t *testing.T) {
+	is := is.New(t)
+	g := newGates()
+	s, address := startServer(t, Config{Handler: g})
+	c := dial(t, address)
+	c.send("/1", "/2", "/2", "/2", "/2")
+	is.Equal(<-g.started, "/1")
+	awaitHold(t, s)
+	canceled, cancel := context.WithCancel(t.Context())
+	cancel()
+	is.Equal(s.Shutdown(canceled), context.Canceled)
+	close(g.gate("/1"))
+	is.Equal(<-g.started, "/2")
+	awaitHold(t, s) // the next one has been read
+	close(g.gate("/2"))
+	for _, path := range []string{"/1", "/2"} {
+		body, last, err := c.receive()
+		is.NoErr(err)
+		is.Equal(body, path)
+		is.Equal(last, path == "/2")
+	}
+	_, err := c.in.ReadByte()
+	is.Equal(err, io.EOF)
+	c.Close()
+	is.NoErr(s.Shutdown(t.Context()))
+	is.Equal(len(g.started), 0)
+}
