--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -79,7 +80,10 @@
 	reading    bool        // a goroutine reads
 	waiting    bool        // it waits for the first byte of a request
 	holding    bool        // it waits until a request that it has read may start
+	unstarted  bool        // a request waits that has been read before the server was shut down
+	unheld     bool        // there was no memory for that
 	idleSince  time.Time   // when the last request was answered, if used
+	stopped    bool        // the wait for a request is to end
 	until      time.Time   // when the read in progress ends; zero for never
 	armed      time.Time   // the read deadline that is set: not later than until
 }
@@ -252,7 +256,7 @@
 func (c *conn) extend() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.waiting && len(c.queue) == 0 && !c.closing {
+	if c.waiting && len(c.queue) == 0 && !c.stopped && !c.closing {
 		c.until = c.idleUntil() // the limits may have changed
 	}
 	if !c.until.IsZero() && !time.Now().Before(c.until) {
@@ -298,11 +302,14 @@
 func (c *conn) admit(x *response) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	defer func() { c.unstarted = false }()
 	for !c.mayStart(x) {
 		if c.ending || c.departed {
+			c.countNotStarted()
 			return false
 		}
 		if !c.holdUnread() {
+			c.endWith(rejection(errNoMemory))
 			return false
 		}
 	}
@@ -316,6 +323,13 @@
 	return true
 }
 
+// countNotStarted counts a request that has been read behind a last response. The caller holds c.mu.
+func (c *conn) countNotStarted() {
+	if c.last != nil {
+		c.server.count("ReadAheadNotStarted")
+	}
+}
+
 // mayStart reports whether the handler of a response may run, and if so reserves memory for
 // it. The caller holds c.mu.
 func (c *conn) mayStart(x *response) bool {
@@ -369,24 +383,32 @@
 	c.holding = false
 	if departed {
 		c.depart()
-	} else if !c.closing {
+		return
+	}
+	if !c.closing {
 		c.until = time.Time{}
-		c.arm(time.Time{})
 	}
+	c.arm(c.until) // wake has set another one
 }
 
 // holdUnread is hold with a charge for what the client can send meanwhile. If there is no memory
-// for it, it doesn't wait: the responses in the queue are the last ones of the connection, and it
-// returns false. The caller holds c.mu, and the queue is not empty.
+// for it, it doesn't wait and returns false, now and later: the caller refuses the request that
+// would wait. The caller holds c.mu, and the queue is not empty.
 func (c *conn) holdUnread() bool {
 	m := c.server.config.Unread
+	if !c.server.closing.Load() {
+		c.unstarted = true // until the caller stops waiting
+	}
 	if m == nil {
 		c.hold()
 		return true
 	}
+	if c.unheld {
+		return false
+	}
 	if !m.Reserve(unreadBytes) {
 		c.server.count("UnreadWithoutMemory")
-		c.ending, c.last = true, c.queue[len(c.queue)-1]
+		c.unheld = true
 		return false
 	}
 	c.hold()
@@ -418,13 +440,15 @@
 }
 
 // holdUntilAnswered waits until all requests have been answered. It returns false if nothing
-// more is to be read. The caller holds c.mu, which is not held while waiting.
+// more is to be read, or without memory to wait. The caller holds c.mu, which is not held while
+// waiting.
 func (c *conn) holdUntilAnswered() bool {
 	held := false
 	for len(c.queue) > 0 && !c.ending && !c.departed && c.holdUnread() {
 		held = true
 	}
-	if c.ending || c.departed {
+	c.unstarted = false
+	if len(c.queue) > 0 || c.ending || c.departed {
 		return false
 	}
 	if held {
@@ -451,6 +475,9 @@
 // depart cancels all requests because the client has closed the connection or broken it.
 // The caller holds c.mu.
 func (c *conn) depart() {
+	if !c.departed && len(c.queue) > 0 {
+		c.server.count("ClientsDeparted")
+	}
 	c.departed = true
 	c.cancel()
 }
@@ -484,8 +511,13 @@
 		c.depart()
 	}
 	// Requests in progress are cancelled if the client leaves, also when nothing more is read.
+	held := false
 	for len(c.queue) > 0 && !c.departed && !c.closed {
 		c.hold()
+		held = true
+	}
+	if held && !c.closing && !c.departed {
+		c.closeWrite() // the client may have sent more meanwhile
 	}
 	if c.closing && !c.closed && !c.departed {
 		c.linger()
@@ -521,10 +553,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.waiting && len(c.queue) == 0 && (c.used || time.Since(c.acceptedAt) > newConnTimeout) {
-		c.close()
+		c.stopWaiting()
 	}
 }
 
+// stopWaiting ends the wait for a request, so that the goroutine that waits closes the connection.
+// If it has already read the beginning of a request, that is served. The caller holds c.mu.
+func (c *conn) stopWaiting() {
+	c.stopped, c.until = true, past
+	c.arm(past)
+}
+
 // abandon closes the connection and cancels its requests.
 func (c *conn) abandon() {
 	c.mu.Lock()
@@ -547,15 +586,28 @@
 	c.queue = nil
 }
 
-// endsWith reports whether a response is the last one because the server is shut down: those
-// behind it have been accepted and are answered as well.
+// endsWith reports whether a response is the last one because the server is shut down: requests
+// behind it that run, or waited for their turn when the shutdown began, have been accepted and
+// are answered as well.
 func (c *conn) endsWith(x *response) bool {
 	if !c.server.closing.Load() {
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.queue) > 0 && c.queue[len(c.queue)-1] == x
+	return len(c.queue) > 0 && c.queue[len(c.queue)-1] == x && !c.unstarted
+}
+
+// endWith queues a response that no handler made as the last one of the connection. Waiting for
+// its turn takes no goroutine, and the reader may discard what the client sends. The caller holds
+// c.mu, and the queue is not empty.
+func (c *conn) endWith(text string) {
+	x := &response{conn: c, cancel: func() {}, done: true, out: []byte(text)}
+	c.queue = append(c.queue, x)
+	c.ending, c.last = true, x
+	c.server.count("RequestsRejected")
+	status, _, _ := strings.Cut(text, "\r\n")
+	c.server.config.Logger.Info("request behind others rejected; no memory is left to wait for its turn", "Client", c.remoteAddr, "Response", status)
 }
 
 // endAfter makes a response the last one of the connection. The requests behind it count as
@@ -572,7 +624,9 @@
 			c.last = x
 			for _, behind := range c.queue[i+1:] {
 				behind.cancel()
-				c.server.count("ReadAheadCancelled")
+				if behind.request != nil { // it ran
+					c.server.count("ReadAheadCancelled")
+				}
 			}
 			break
 		}
@@ -649,7 +703,7 @@
 // rest is called when all requests have been answered. The caller holds c.mu.
 func (c *conn) rest() {
 	c.short = false
-	if !c.reading || c.server.closing.Load() && c.waiting {
+	if !c.reading {
 		c.close()
 		return
 	}
@@ -659,7 +713,10 @@
 		// conns could close it in favour of a new one.
 		c.setState(http.StateIdle)
 	}
-	if c.waiting {
+	switch {
+	case c.waiting && c.server.closing.Load():
+		c.stopWaiting()
+	case c.waiting:
 		c.setUntil(c.idleUntil())
 	}
 	c.wake()
@@ -710,6 +767,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.holdUntilAnswered() {
+		if c.unheld && !c.ending && !c.departed {
+			c.endWith(response)
+			c.mu.Unlock()
+			c.awaitEnd()
+			c.mu.Lock()
+			return
+		}
+		c.countNotStarted()
 		return
 	}
 	c.ending = true
