roster: routes of another node without a target are refused

A node takes routes from other nodes as they come. A route without a target, for example from a version of the program that names the field differently, makes platform.chooseService panic at each of its requests: "index out of range [0] with length 0". httpd logs "handler failed; its connection is closed", and the client gets no byte of an answer (seen in a trial with httpd above platform.Handler: the client read "" and the end of the connection).

Routing.Check refuses such routes, as ServerEntry.Check refuses entries. The version in force stays, the node stays behind and reads the registry, as after a state from an earlier version of the program.

TestUnusableRoutesOfOtherNodeAreRefused before: version 2 with the route "{r a.example / [] ...}" is in force, instead of version 1 with the target "{s 1}", for whole routes and for a difference.

Three tests exchanged routes without targets, which the parser of the configuration has always refused. They have targets now and check the same.

--- a/placement.go
+++ b/placement.go
@@ -165,6 +165,28 @@
 	Revision Revision
 }
 
+// RoutingError reports a field of the routes that can't be used.
+type RoutingError struct {
+	Version              uint64
+	Field, Value, Remedy string
+}
+
+// Error names the version, the field, its value and the remedy.
+func (e *RoutingError) Error() string {
+	return fmt.Sprintf("version %d of the routes: field %s has the value %q; %s", e.Version, e.Field, e.Value, e.Remedy)
+}
+
+// Check returns a *RoutingError if requests could not be answered by these routes. What else
+// operators have to observe is checked when the registry is read.
+func (r *Routing) Check() error {
+	for i := range r.Routes {
+		if v := &r.Routes[i]; len(v.Targets) == 0 {
+			return &RoutingError{r.Version, "Targets", "", fmt.Sprintf("give route %q at least one target", v.Name)}
+		}
+	}
+	return nil
+}
+
 // ServerEntry is what a server has published about itself. It can be out of
 // date; the node on the server's host has more recent information.
 type ServerEntry struct {
--- a/roster/diff_test.go
+++ b/roster/diff_test.go
@@ -94,7 +94,7 @@
 	from, to := New(Config{DataCentre: "a"}), New(Config{DataCentre: "a"})
 	var routes []prim.PathRoute
 	publish := func(version uint64) {
-		routes = append(slices.Clone(routes), prim.PathRoute{Name: fmt.Sprint(version), Authority: "a", Prefix: fmt.Sprintf("/%d/", version)})
+		routes = append(slices.Clone(routes), prim.PathRoute{Name: fmt.Sprint(version), Authority: "a", Prefix: fmt.Sprintf("/%d/", version), Targets: []prim.Target{{Service: "s", Weight: 1}}})
 		from.SetRouting(prim.Routing{Version: version, Routes: routes, Revision: prim.Revision(version)}, "test")
 	}
 	for version := uint64(1); version <= 100; version++ {
@@ -186,7 +186,7 @@
 			publish := func(version uint64) {
 				routes := make([]prim.PathRoute, 3)
 				for i := range routes {
-					routes[i] = prim.PathRoute{Authority: "a", Prefix: fmt.Sprintf("/%d/", i), Regions: regions}
+					routes[i] = prim.PathRoute{Authority: "a", Prefix: fmt.Sprintf("/%d/", i), Targets: []prim.Target{{Service: "s", Weight: 1}}, Regions: regions}
 				}
 				routes[0].Priority = int(version)
 				from.SetRouting(prim.Routing{Version: version, Routes: routes, Revision: prim.Revision(version)}, "test")
--- a/roster/share.go
+++ b/roster/share.go
@@ -266,8 +266,8 @@
 
 // applyRoutes applies the routes of a response, or their difference from this node's
 // version. It reports whether the routes changed, and whether the response has newer ones
-// that can't be applied, since the version has changed after the request, or since the
-// sender may have dropped fields of them. The caller holds r.mu.
+// that can't be applied, since the version has changed after the request, since the
+// sender may have dropped fields of them, or since they are invalid. The caller holds r.mu.
 func (r *Roster) applyRoutes(resp *stateResponse, source string) (changed, missing bool) {
 	if version := resp.routesVersion(); resp.RoutingFields < routingFields && (version > r.routing.Version || r.routing.NeedsKeys()) {
 		r.log.Info("state of a node of an earlier version of the program not applied, since its routes may lack customers and home regions", "Version", version,
@@ -285,6 +285,10 @@
 	if routing == nil {
 		return false, missing
 	}
+	if err := routing.Check(); err != nil && routing.Version > r.routing.Version {
+		r.log.Warn("routes of another node refused; this node reads the registry itself", "Error", err, "Routes", r.routing.Version, "Source", source)
+		return false, true
+	}
 	routing.Revision = r.revisionOf(resp.Era, uint64(routing.Revision))
 	return r.setRouting(*routing, source), missing
 }
--- a/roster/share_test.go
+++ b/roster/share_test.go
@@ -178,6 +178,30 @@
 	}
 }
 
+// Guards against routes of another node by which requests end without an answer.
+func TestUnusableRoutesOfOtherNodeAreRefused(t *testing.T) {
+	route := prim.PathRoute{Name: "r", Authority: "a.example", Prefix: "/", Targets: []prim.Target{{Service: "s", Weight: 1}}}
+	withoutTarget := route
+	withoutTarget.Targets = nil
+	inForce := prim.Routing{Version: 1, Routes: []prim.PathRoute{route}, Revision: 1}
+	for name, resp := range map[string]stateResponse{
+		"all":        {Routing: &prim.Routing{Version: 2, Routes: []prim.PathRoute{withoutTarget}, Revision: 2}},
+		"difference": {RoutesDiff: &routesDiff{Base: 1, Version: 2, Number: 2, Changed: []prim.PathRoute{withoutTarget}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := New(Config{RepublishDelay: republishDelay, DataCentre: "a"})
+			r.SetRouting(inForce, "test")
+			resp.Number, resp.Era, resp.RoutingFields = 2, 1, routingFields
+			r.applyResponse(resp, "test")
+			is.Equal(r.Placement().Routing, inForce)
+			is.Equal(r.Revision(), prim.Revision(1)) // the node still is behind
+			r.SetRouting(prim.Routing{Version: 2, Routes: []prim.PathRoute{route}, Revision: 2}, "registry")
+			is.Equal(r.Placement().Routing.Version, uint64(2))
+		})
+	}
+}
+
 // Guards against routes that reach only the nodes which read the registry, because a
 // large configuration doesn't fit into a message between nodes.
 func TestLargestConfigurationFitsIntoMessage(t *testing.T) {
--- a/roster/verify_test.go
+++ b/roster/verify_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -38,7 +39,7 @@
 				from, to := New(Config{DataCentre: "a"}), New(Config{DataCentre: "a"})
 				routing := prim.Routing{Version: 2, Customers: customers, Revision: 2}
 				if deflated {
-					routing.Routes = make([]prim.PathRoute, 1000)
+					routing.Routes = slices.Repeat([]prim.PathRoute{{Targets: []prim.Target{{Service: "s", Weight: 1}}}}, 1000)
 				}
 				from.SetRouting(routing, "test")
 				is.NoErr(to.Fetch(t.Context(), messages{to: from}, "host-1"))
@@ -73,7 +74,7 @@
 	holder.SetRouting(withCustomers(1), "test")
 	next := withCustomers(2)
 	next.Revision = 9
-	next.Routes = make([]prim.PathRoute, 3)
+	next.Routes = slices.Repeat([]prim.PathRoute{{Targets: []prim.Target{{Service: "s", Weight: 1}}}}, 3)
 	earlier.SetRouting(next, "test")
 	for _, r := range []*Roster{empty, holder} {
 		for _, diffs := range []bool{false, true} {
