roster: routes of another node with negative limits are refused

With a negative idle timeout every write of an answer fails at once, since its deadline lies in the past: in a trial with httpd above conns and an idle timeout of -1 ns the client read "unexpected EOF" in place of the answer. The parser of the configuration refuses such limits; those from another node were not checked.

TestUnusableRoutesOfOtherNodeAreRefused/limits before: version 2 with the limits "{0 0 0s -1ns}" in force, instead of version 1.

--- a/placement.go
+++ b/placement.go
@@ -184,6 +184,9 @@
 			return &RoutingError{r.Version, "Targets", "", fmt.Sprintf("give route %q at least one target", v.Name)}
 		}
 	}
+	if l := &r.Limits; min(l.MaxHeaderBytes, l.MaxBodyBytes) < 0 || min(l.HeaderTimeout, l.IdleTimeout) < 0 {
+		return &RoutingError{r.Version, "Limits", fmt.Sprint(*l), "give limits that are not negative"}
+	}
 	return nil
 }
 
--- a/roster/share_test.go
+++ b/roster/share_test.go
@@ -187,6 +187,7 @@
 	for name, resp := range map[string]stateResponse{
 		"all":        {Routing: &prim.Routing{Version: 2, Routes: []prim.PathRoute{withoutTarget}, Revision: 2}},
 		"difference": {RoutesDiff: &routesDiff{Base: 1, Version: 2, Number: 2, Changed: []prim.PathRoute{withoutTarget}}},
+		"limits":     {RoutesDiff: &routesDiff{Base: 1, Version: 2, Number: 2, Limits: &prim.ClientLimits{IdleTimeout: -1}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
