conns: the age of a header counts from when it could be read on

If connections have to make room, one that has received a part of a header for a second may be closed. A request that was received behind others keeps the time of its first byte while it waits for them, and the connection counts as idle before it is answered or refused: a refusal of a malformed request or for lack of memory, and the rest of a header longer than the input buffer, of which the server itself had read no more. A new connection could then close this one at once, without a word to its client.

The time now starts again when the connection becomes idle, as httpd's own limit for the header does.

--- a/conns/ahead_test.go
+++ b/conns/ahead_test.go
@@ -51,6 +51,34 @@
 	return c
 }
 
+// Guards against a connection that is closed to make room while a request that was received
+// behind others is about to be answered or refused.
+func TestWaitingRequestIsNotSlow(t *testing.T) {
+	is := is.New(t)
+	l := newBoundedListener(t, Bounds{MaxOpen: 1})
+	client := dialAhead(t, l)
+	defer client.Close()
+	accepted, err := l.Accept()
+	is.NoErr(err)
+	c := accepted.(*conn)
+	defer c.Close()
+	read := func() {
+		_, err := io.WriteString(client, "GET")
+		is.NoErr(err)
+		n, err := c.ReadNext(make([]byte, 10))
+		is.NoErr(err)
+		is.Equal(n, 3)
+	}
+	Track(c, http.StateNew)
+	read()
+	Track(c, http.StateActive)
+	read()
+	c.headerSince = c.headerSince.Add(-2 * slowHeader)
+	Track(c, http.StateIdle)
+	is.True(!c.beginEviction(time.Now()))
+	is.True(c.beginEviction(time.Now().Add(2 * slowHeader)))
+}
+
 // Guards against a connection that is charged for all headers since it was last idle, until
 // it is closed with requests in progress, if it always has a request in progress.
 func TestHeadersOfPipelineAreNotAddedUp(t *testing.T) {
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -73,6 +73,8 @@
 		c.waitingSince = time.Time{}
 		if c.idle {
 			c.waitingSince = time.Now()
+			// A header that was received behind requests in progress may have waited for them.
+			c.headerSince = c.waitingSince
 		}
 		if s == http.StateIdle {
 			c.handled.Store(false)
@@ -239,7 +241,7 @@
 	closing  bool       // closeIfIdle closes the connection; no request is read any more
 
 	waitingSince time.Time // when the connection became idle; zero while a request is handled
-	headerSince  time.Time // when a request has begun, if received
+	headerSince  time.Time // when a request has begun, if received, but not before the connection became idle
 	headerBytes  int       // received since the connection became idle
 	headerHeld   int       // bytes that are reserved for them
 }
