server: a lowered bound on connections holds for open ones

SetConnections applies max_conns of the configuration. After it was lowered, connections beyond it stayed in the pool and were used again, for as long as requests followed each other within the idle timeout: the bound, which the operators publish as what a server accepts from all callers together, did not hold. Idle ones beyond it are closed now, those in use at the end of their requests.

TestConnectionLimitIsLowered before: "{4 4 3} != {3 3 3}", 4 open connections with a bound of 3.

--- a/server/pool.go
+++ b/server/pool.go
@@ -124,7 +124,7 @@
 }
 
 // releaseConn returns a connection to the pool. It closes the connection if it is not
-// reusable or has unread input.
+// reusable or has unread input, or if too many are open.
 func (c *Client) releaseConn(conn *connection, reusable bool) {
 	if !reusable || conn.reader.Buffered() > 0 {
 		c.discardConn(conn)
@@ -132,8 +132,14 @@
 	}
 	conn.lastUsed = time.Now()
 	c.mu.Lock()
-	c.idleConns = append(c.idleConns, conn)
+	kept := c.openConns <= c.config.Connections
+	if kept {
+		c.idleConns = append(c.idleConns, conn)
+	}
 	c.mu.Unlock()
+	if !kept {
+		c.discardConn(conn)
+	}
 }
 
 // idleCheckInterval is the time between two checks of the idle connections.
--- a/server/server.go
+++ b/server/server.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -110,11 +111,18 @@
 	return &Client{config: c, address: c.Address.String()}
 }
 
-// SetConnections sets the maximum number of open connections, at least 1.
+// SetConnections sets the maximum number of open connections, at least 1. It closes idle ones
+// beyond it; those in use are closed when their requests have ended.
 func (c *Client) SetConnections(n int) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.config.Connections = max(n, 1)
+	surplus := min(max(0, c.openConns-c.config.Connections), len(c.idleConns))
+	closed := slices.Clone(c.idleConns[:surplus])
+	c.idleConns = slices.Delete(c.idleConns, 0, surplus)
+	c.mu.Unlock()
+	for _, conn := range closed {
+		c.discardConn(conn)
+	}
 }
 
 // Status is the state of the connection pool.
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -87,6 +87,46 @@
 	is.NoErr(<-result)
 }
 
+// Guards against connections beyond a bound that was lowered while they were open, in use or
+// idle.
+func TestConnectionLimitIsLowered(t *testing.T) {
+	is := is.New(t)
+	entered, release := make(chan struct{}), make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		entered <- struct{}{}
+		<-release
+	}))
+	defer s.Close()
+	c := newClient(s.Listener.Addr().String(), 4)
+	defer c.Close()
+	results := make(chan error)
+	begin := func(n int) {
+		for range n {
+			go func() {
+				_, err := c.Do(context.Background(), newRequest("GET", "/"))
+				results <- err
+			}()
+			<-entered
+		}
+	}
+	end := func(n int) {
+		for range n {
+			release <- struct{}{}
+			is.NoErr(<-results)
+		}
+	}
+	begin(4)
+	c.SetConnections(3)
+	end(4)
+	is.Equal(c.Status(), server.Status{Open: 3, Idle: 3, Connections: 3})
+	begin(1)
+	c.SetConnections(2)
+	is.Equal(c.Status(), server.Status{Open: 2, Idle: 1, Connections: 2})
+	c.SetConnections(1)
+	end(1)
+	is.Equal(c.Status().Open, 1)
+}
+
 // Guards against the outcome NotRun for a request that reached the server, and Unknown
 // for one that was not sent.
 func TestOutcomeOfFailures(t *testing.T) {
