--- a/conns/ahead_test.go
+++ b/conns/ahead_test.go
@@ -306,3 +306,51 @@
 		}
 	})
 }
+
+// noMemory is a prim.MemoryBudget without room. It tells who asks.
+type noMemory chan int
+
+func (m noMemory) Reserve(n int) bool {
+	m <- n
+	return false
+}
+
+func (noMemory) Release(int) {}
+
+// Guards against a refusal behind requests in progress that does not reach its client through a
+// Listener, or that is reset because the client goes on sending.
+func TestRefusalBehindRequestsArrives(t *testing.T) {
+	is := is.New(t)
+	l := newListener(t)
+	started, answer, unread := make(chan struct{}), make(chan struct{}), make(noMemory, 1)
+	s := httpd.New(httpd.Config{
+		Handler: Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			close(started)
+			<-answer
+		})),
+		Concurrent: func(r *http.Request) bool { return r.Method == http.MethodGet }, Unread: unread, ConnState: Track, ConnContext: Context,
+	})
+	served := make(chan error, 1)
+	go func(context.Context) { served <- s.Serve(l) }(t.Context())
+	defer func() {
+		s.Close()
+		<-served
+	}()
+	c := dialAhead(t, l)
+	defer c.Close()
+	io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-started
+	io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n\r\n"+strings.Repeat("b", 100_000))
+	<-unread
+	close(answer)
+	io.WriteString(c, strings.Repeat("b", 100_000))
+	in := bufio.NewReader(c)
+	for _, status := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+		resp, err := http.ReadResponse(in, nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, status)
+		is.Equal(resp.Close, status == http.StatusServiceUnavailable)
+	}
+	_, err := in.ReadByte()
+	is.Equal(err, io.EOF)
+}
