httpd: a client is not cut off while the kernel takes its response

A response was lost, with its connection and the line that the client reads too slowly, although the client had taken enough of it:

- The write deadline passed between its setting and the write, since the process was stopped or got no processor for the idle timeout, which operators may set from 1 ms on.
Go then fails the write without trying it.
- The kernel wakes a writer only when a third of the socket's buffer is free.

What the kernel takes without waiting now counts before a client is cut off. The bound of minWriteBytes in an idle timeout is the same, and TestDrippingReader and TestSlowReaders are unchanged.

--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -816,6 +816,12 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
 		}
+		if n < minWriteBytes && !c.isGivenUp(x) {
+			n += c.writeAtOnce()
+			if len(c.unwritten) == 0 {
+				return nil
+			}
+		}
 		if n < minWriteBytes && !c.isGivenUp(x) {
 			c.server.count("ResponsesNotRead")
 			c.server.config.Logger.Info("client reads its response too slowly; connection closed", "Client", c.remoteAddr, "Waited", time.Since(began), "IdleTimeout", idle)
@@ -852,6 +858,31 @@
 	return int64(written), err
 }
 
+// writeAtOnce writes from c.unwritten what the kernel takes without waiting, also if the write deadline has passed.
+// That is more than the writes before found out if the process was stopped meanwhile, and since the
+// kernel wakes a writer only when a third of the socket's buffer is free, which may be a MiB.
+func (c *conn) writeAtOnce() (n int64) {
+	if c.raw == nil {
+		return 0
+	}
+	_ = c.raw.Control(func(fd uintptr) {
+		for len(c.unwritten) > 0 {
+			written, err := unix.Write(int(fd), c.unwritten[0])
+			if err == unix.EINTR {
+				continue
+			}
+			if err != nil {
+				return
+			}
+			n += int64(written)
+			if c.unwritten[0] = c.unwritten[0][written:]; len(c.unwritten[0]) == 0 {
+				c.unwritten = c.unwritten[1:]
+			}
+		}
+	})
+	return n
+}
+
 // isGivenUp reports whether the handler of x has given up its response.
 func (c *conn) isGivenUp(x *response) bool {
 	c.mu.Lock()
