--- a/conns/ahead_test.go
+++ b/conns/ahead_test.go
@@ -194,6 +194,28 @@
 	receive()
 }
 
+// Guards against a write deadline that is replaced below a server that remembers it: writes of several buffers then fail.
+func TestWriteDeadlineOfServerIsKept(t *testing.T) {
+	is := is.New(t)
+	const idle = 20 * time.Millisecond
+	l := newBoundedListener(t, Bounds{Limits: func() prim.ClientLimits {
+		return prim.ClientLimits{HeaderTimeout: time.Minute, IdleTimeout: idle}
+	}})
+	client := dial(t, l)
+	io.WriteString(client, "a")
+	c, err := l.Accept()
+	is.NoErr(err)
+	defer c.Close()
+	_, err = c.(*conn).ReadNext(make([]byte, 1))
+	is.NoErr(err)
+	is.NoErr(c.SetWriteDeadline(time.Now().Add(time.Minute)))
+	_, err = c.Write([]byte("b"))
+	is.NoErr(err)
+	time.Sleep(3 * idle)
+	_, err = (&net.Buffers{[]byte("c"), []byte("d")}).WriteTo(c)
+	is.NoErr(err)
+}
+
 // Guards against a connection that is reported as idle, so that it may be closed for a new
 // one, when a request that has been read is about to start.
 func TestNotIdleBeforeWaitingRequest(t *testing.T) {
