httpd: a longer idle timeout applies to a write in progress

A write that waits for its client kept the idle timeout that was in force when it began. If the operators allowed more meanwhile, a client that relied on it was cut off by the former timeout, and its response was lost beside a change of the configuration.

When the deadline has passed, the limits at present decide, as they do for idle connections. A client can extend its time only by reading, or once by each longer timeout.

--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -808,6 +808,7 @@
 	}
 	defer clear(c.vector) // they may be long
 	c.unwritten = c.vector
+	taken := int64(0) // since the idle timeout began
 	for {
 		n, err := c.writeOnce()
 		if err == nil {
@@ -816,18 +817,27 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
 		}
-		if n < minWriteBytes && !c.isGivenUp(x) {
-			n += c.writeAtOnce()
+		taken += n
+		if taken < minWriteBytes && !c.isGivenUp(x) {
+			taken += c.writeAtOnce()
 			if len(c.unwritten) == 0 {
 				return nil
 			}
 		}
-		if n < minWriteBytes && !c.isGivenUp(x) {
+		former := idle
+		idle = c.server.limits().IdleTimeout
+		extension := idle
+		switch {
+		case taken >= minWriteBytes:
+			taken = 0
+		case idle > former:
+			extension = idle - former // it has become longer meanwhile
+		case !c.isGivenUp(x):
 			c.server.count("ResponsesNotRead")
-			c.server.config.Logger.Info("client reads its response too slowly; connection closed", "Client", c.remoteAddr, "Waited", time.Since(began), "IdleTimeout", idle)
+			c.server.config.Logger.Info("client reads its response too slowly; connection closed", "Client", c.remoteAddr, "Waited", time.Since(began), "IdleTimeout", former)
 			return err
 		}
-		if !c.extendWrite(x, idle, 0) {
+		if !c.extendWrite(x, extension, 0) {
 			return err
 		}
 	}
--- a/httpd/writes_test.go
+++ b/httpd/writes_test.go
@@ -4,7 +4,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -67,3 +69,35 @@
 	is.NoErr(err)
 	is.Equal(body, "/"+strings.Repeat("a", 100<<10))
 }
+
+// Guards against a client that is cut off by an idle timeout that was in force when the write began and has become longer.
+func TestHigherIdleTimeoutAppliesToWriteInProgress(t *testing.T) {
+	is := is.New(t)
+	const size = 64 << 20 // more than the buffers of both sockets
+	var idle atomic.Int64
+	idle.Store(int64(50 * time.Millisecond))
+	base, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	writing := make(chan struct{})
+	l := &deadlineListener{Listener: base, onRead: func(time.Time) {}, onWrite: func(time.Time) {
+		if idle.Swap(int64(time.Minute)) != int64(time.Minute) {
+			close(writing)
+		}
+	}}
+	s := New(Config{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", strconv.Itoa(size))
+			w.Write(make([]byte, size))
+		}),
+		Limits: func() prim.ClientLimits { return prim.ClientLimits{IdleTimeout: time.Duration(idle.Load())} },
+	})
+	go s.Serve(l)
+	defer s.Close()
+	c := dial(t, base.Addr().String())
+	c.send("/")
+	<-writing
+	time.Sleep(time.Second) // write deadlines of the former timeout pass
+	body, _, err := c.receive()
+	is.NoErr(err)
+	is.Equal(len(body), size)
+}
