--- a/httpd/server_test.go
+++ b/httpd/server_test.go
@@ -578,7 +578,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			limits := func() prim.ClientLimits {
-				return prim.ClientLimits{HeaderTimeout: 150 * time.Millisecond, IdleTimeout: 150 * time.Millisecond}
+				return prim.ClientLimits{HeaderTimeout: 450 * time.Millisecond, IdleTimeout: 450 * time.Millisecond}
 			}
 			// The next request is awaited before the response is written.
 			handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { time.Sleep(10 * time.Millisecond) })
@@ -587,7 +587,7 @@
 			begin := time.Now()
 			for i, part := range sent {
 				if i > 0 {
-					time.Sleep(100 * time.Millisecond)
+					time.Sleep(300 * time.Millisecond)
 				}
 				begin = time.Now()
 				io.WriteString(c, part)
@@ -600,7 +600,7 @@
 			_, err := c.in.ReadByte()
 			is.Equal(err, io.EOF)
 			took := time.Since(begin)
-			is.True(took > 140*time.Millisecond && took < 5*time.Second)
+			is.True(took > 440*time.Millisecond && took < 5*time.Second)
 		})
 	}
 }
