platform, httpd: a stop answers the requests that already run

Callers that send several requests at once lost those that servers already ran when a planned stop of the node began between the reading of a request and the start of its handler: the handler asked to close the connection, which cancels what runs behind.

Whether the node stops was asked twice for one request, by Concurrent when it is read and by the handler.

--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -396,7 +396,7 @@
 // would wait. The caller holds c.mu, and the queue is not empty.
 func (c *conn) holdUnread() bool {
 	m := c.server.config.Unread
-	if !c.server.closing.Load() {
+	if !c.server.isLeaving() {
 		c.unstarted = true // until the caller stops waiting
 	}
 	if m == nil {
@@ -590,7 +590,7 @@
 // behind it that run, or waited for their turn when the shutdown began, have been accepted and
 // are answered as well.
 func (c *conn) endsWith(x *response) bool {
-	if !c.server.closing.Load() {
+	if !c.server.isLeaving() {
 		return false
 	}
 	c.mu.Lock()
--- a/httpd/server.go
+++ b/httpd/server.go
@@ -31,6 +31,10 @@
 	// MaxReadAhead limits the requests of a connection that run, or wait with a finished
 	// response, behind the one whose response is next; DefaultReadAhead if 0.
 	MaxReadAhead int
+	// Leaving reports whether clients have to be asked to close their connections, as while the
+	// server is shut down. It may be nil. Requests behind a response that a handler gives
+	// Connection: close are cancelled; those behind a response that gets it for this reason aren't.
+	Leaving func() bool
 	// Memory accounts for the requests that are read ahead and for their responses; no
 	// limit but those of each connection if nil.
 	Memory prim.MemoryBudget
@@ -120,6 +124,12 @@
 	return l
 }
 
+// isLeaving reports whether the response to the last accepted request of a connection asks its
+// client to close it.
+func (s *Server) isLeaving() bool {
+	return s.closing.Load() || s.config.Leaving != nil && s.config.Leaving()
+}
+
 // count adds 1 to a counter.
 func (s *Server) count(name string) {
 	if s.config.Recorder != nil {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -311,7 +311,7 @@
 // callsEnded.
 func (n *Node) callerServer() *httpd.Server {
 	return httpd.New(httpd.Config{
-		Handler: conns.Handler(n.trackCalls(n.handler)), Concurrent: n.handler.Concurrent, Limits: n.clientLimits, Memory: n.memory.Optional(), Requests: n.memory.Requests(), Unread: n.memory.Unread(),
+		Handler: conns.Handler(n.trackCalls(n.handler)), Concurrent: n.handler.Concurrent, Leaving: n.stopping.Load, Limits: n.clientLimits, Memory: n.memory.Optional(), Requests: n.memory.Requests(), Unread: n.memory.Unread(),
 		ConnState:   conns.Track,
 		ConnContext: func(_ context.Context, c net.Conn) context.Context { return conns.Context(n.callsEnded, c) },
 		Logger:      n.log, Recorder: n.recorder,
