httpd: a request that waits for memory does not count as idle

A connection counted as idle until its request was admitted. Between reading the header and that, memory is reserved, which may wait for a garbage collection. If all connections were open and it took longer than a second, or the header had arrived slowly, a new connection closed this one as one with a part of a header. The request had been read: it ran, and its answer was lost.

The connection is reported as active when the header is whole, and not as idle before that request has been admitted. This costs two more locks of the connection for each request.

--- a/conns/ahead_test.go
+++ b/conns/ahead_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -216,6 +217,51 @@
 	is.NoErr(err)
 }
 
+// slowMemory is a budget whose first reservation waits.
+type slowMemory struct {
+	once    sync.Once
+	asked   chan struct{}
+	release chan struct{}
+}
+
+// Reserve implements prim.MemoryBudget.
+func (m *slowMemory) Reserve(int) bool {
+	m.once.Do(func() {
+		close(m.asked)
+		<-m.release
+	})
+	return true
+}
+
+// Release implements prim.MemoryBudget.
+func (m *slowMemory) Release(int) {}
+
+// Guards against a connection that is closed for a new one after its request has been read, while memory is found for it: the
+// request then runs, and its answer is lost.
+func TestRequestThatWaitsForMemoryIsNotEvicted(t *testing.T) {
+	is := is.New(t)
+	m := &slowMemory{asked: make(chan struct{}), release: make(chan struct{})}
+	refused := make(chan bool, 1)
+	l := newBoundedListener(t, Bounds{MaxOpen: 1, OnPressure: func(_ int, r bool) { refused <- r }})
+	s := httpd.New(httpd.Config{Handler: Handler(answer), Requests: m, ConnState: Track, ConnContext: Context})
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	defer func() {
+		s.Close()
+		<-served
+	}()
+	c := dialAhead(t, l)
+	defer c.Close()
+	io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-m.asked
+	time.Sleep(slowHeader + 100*time.Millisecond)
+	dial(t, l)
+	is.True(<-refused)
+	close(m.release)
+	_, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+}
+
 // Guards against a connection that is reported as idle, so that it may be closed for a new
 // one, when a request that has been read is about to start.
 func TestNotIdleBeforeWaitingRequest(t *testing.T) {
--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -80,6 +80,7 @@
 	reading    bool        // a goroutine reads
 	waiting    bool        // it waits for the first byte of a request
 	holding    bool        // it waits until a request that it has read may start
+	whole      bool        // it has read the header of a request that is not yet in the queue
 	unstarted  bool        // a request waits that has been read before the server was shut down
 	unheld     bool        // there was no memory for that
 	idleSince  time.Time   // when the last request was answered, if used
@@ -147,9 +148,23 @@
 		c.awaitEnd()
 		return nil
 	}
+	c.mu.Lock()
+	c.whole = false
+	c.mu.Unlock()
 	return x
 }
 
+// beginRequest reports that the connection is not idle when a header has been read: conns could
+// close it in favour of a new one while memory is found for the request.
+func (c *conn) beginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.whole = true
+	if len(c.queue) == 0 && !c.closed {
+		c.setState(http.StateActive)
+	}
+}
+
 // awaitInput waits for the first byte of a request. It returns false if there will be none.
 func (c *conn) awaitInput() bool {
 	leading := 0
@@ -451,7 +466,7 @@
 	if len(c.queue) > 0 || c.ending || c.departed {
 		return false
 	}
-	if held {
+	if held && !c.whole {
 		c.setState(http.StateIdle) // rest leaves it to the goroutine that holds
 	}
 	return true
@@ -708,7 +723,7 @@
 		return
 	}
 	c.idleSince = time.Now()
-	if !c.holding {
+	if !c.holding && !c.whole {
 		// The connection is not idle if a request that has been read is about to start:
 		// conns could close it in favour of a new one.
 		c.setState(http.StateIdle)
