httpd: what may run beside others is decided when it starts

Config.Concurrent was asked when a request was read, and the result was kept while the request waited for its turn. If the routes changed meanwhile, a request that may no longer run beside others started beside earlier ones of its connection. If one of these ends the connection, the request is cancelled after it has begun, and its client, which has no reason to repeat it, gets no answer.

It is now asked again before the request starts beside others.

TestConcurrencyIsDecidedAtTheStart before: "/c runs beside /b".

--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -357,6 +357,10 @@
 	if !x.concurrent || !c.queue[0].concurrent || len(c.queue) > c.server.config.MaxReadAhead || c.short {
 		return false
 	}
+	// It may have waited, and what may run beside others may have changed meanwhile.
+	if x.concurrent = c.mayRunBeside(c.server.config.Concurrent, x.request); !x.concurrent {
+		return false
+	}
 	return c.reserve(x, requestBytes)
 }
 
--- a/httpd/server_test.go
+++ b/httpd/server_test.go
@@ -843,6 +843,46 @@
 	}
 }
 
+// Guards against a request that runs beside others although its route has become one of
+// requests that must not, while it waited for its turn.
+func TestConcurrencyIsDecidedAtTheStart(t *testing.T) {
+	is := is.New(t)
+	g := newGates()
+	var exclusive atomic.Bool
+	asked := make(chan struct{}, 10)
+	concurrent := func(r *http.Request) bool {
+		if r.URL.Path != "/c" {
+			return true
+		}
+		defer func() { asked <- struct{}{} }()
+		return !exclusive.Load()
+	}
+	_, address := startServer(t, Config{Handler: g, MaxReadAhead: 1, Concurrent: concurrent})
+	c := dial(t, address)
+	c.send("/a", "/b", "/c")
+	<-asked
+	is.Equal(take(g.started, 2), []string{"/a", "/b"})
+	exclusive.Store(true)
+	close(g.gate("/a"))
+	body, _, err := c.receive()
+	is.NoErr(err)
+	is.Equal(body, "/a")
+	select {
+	case <-asked: // again, before /c may start
+	case path := <-g.started:
+		t.Fatal(path + " runs beside /b")
+	}
+	close(g.gate("/b"))
+	body, _, err = c.receive()
+	is.NoErr(err)
+	is.Equal(body, "/b")
+	is.Equal(<-g.started, "/c")
+	close(g.gate("/c"))
+	body, _, err = c.receive()
+	is.NoErr(err)
+	is.Equal(body, "/c")
+}
+
 // Guards against a reset that destroys the last response of a connection on its way, because
 // what the client has sent behind it is never read.
 func TestLastResponseArrives(t *testing.T) {
