server: a test of the lowered bound ends when it fails

The handlers of the fake server waited for the test, so that its Close never returned after a failure. With the closing of idle connections taken back it now fails with "{3 2 2} != {2 1 2}", and with that at the end of requests taken back with "{4 4 3} != {3 3 3}".

--- a/server/server_test.go
+++ b/server/server_test.go
@@ -97,6 +97,7 @@
 		<-release
 	}))
 	defer s.Close()
+	defer close(release)
 	c := newClient(s.Listener.Addr().String(), 4)
 	defer c.Close()
 	results := make(chan error)
