fakes: answers of a length that the request asks for

The soak's servers gave answers of some 40 bytes only, so that no answer of a node filled its output buffer. The parameter length of the query pads an answer.

--- a/fakes/app.go
+++ b/fakes/app.go
@@ -1,6 +1,7 @@
 package fakes
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"maps"
@@ -20,7 +21,7 @@
 
 // App is a fake application server. It executes each request for ServiceTime, or for the
 // duration in the parameter work of its query, but not beyond its deadline, records every run with its attempt id, enforces its slot limit and reports its
-// warm-up.
+// warm-up. Its answers have at least as many bytes as the parameter length says.
 type App struct {
 	Service     string
 	Slots       int
@@ -211,7 +212,11 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	fmt.Fprintf(w, "%s answers %s with %d bytes", a.Service, id, len(body))
+	answer := fmt.Appendf(nil, "%s answers %s with %d bytes", a.Service, id, len(body))
+	if length, err := strconv.Atoi(r.URL.Query().Get("length")); err == nil && length > len(answer) {
+		answer = append(answer, bytes.Repeat([]byte{' '}, length-len(answer))...)
+	}
+	w.Write(answer)
 }
 
 // reset resets the connection of a request and ends its handler. The caller holds a.mu,
