soak: limits that change, and clients that keep their connection

The soak could not see it: its servers gave short answers, its configurations had no limits, and a request counted as lost only if its host had met no fault of any kind.

Every configuration now has limits, and the idle timeout of clients changes in series of two to five, 0.3 to 90 s. Two clients of each host keep their connection and send requests with answers and bodies of a few bytes to 192 KiB, in up to three segments. A request that ran, or that ended later than 200 ms after its last byte, has to end with a whole answer unless its node was killed or frozen. A connection that was idle for less than the smallest timeout and whose node is not being stopped must not end at all. The report counts all ends by kind.

--- a/cmd/soak/check.go
+++ b/cmd/soak/check.go
@@ -49,8 +49,9 @@
 	status      int // 0 without a response
 	body        string
 	err         error
-	undisturbed bool // no fault affected the host or the store while the request ran
-	informed    bool // the same, but for cuts between data centres
+	undisturbed bool     // no fault affected the host or the store while the request ran
+	informed    bool     // the same, but for cuts between data centres
+	kept        *keptEnd // nil if the connection was not kept
 }
 
 // rejected reports whether the response has a status of redirects or client errors.
@@ -82,6 +83,11 @@
 		load.Go(func() {
 			d.runPipeliningClient(loadCtx, h, rand.New(rand.NewPCG(c.seed, uint64(pipelineSource+i))), results)
 		})
+		for k := range keptPerHost {
+			load.Go(func() {
+				d.runKeepingClient(loadCtx, h, rand.New(rand.NewPCG(c.seed, uint64(keptSource+i*keptPerHost+k))), results)
+			})
+		}
 		if d.regions > 1 {
 			load.Go(func() {
 				d.runHomeClient(loadCtx, h, rand.New(rand.NewPCG(c.seed, uint64(homeSource+i))), results)
@@ -98,6 +104,7 @@
 	}
 	injecting.Go(func() { d.injectResets(faultCtx) })
 	injecting.Go(func() { d.injectUnsigned(faultCtx) })
+	injecting.Go(func() { d.injectLimits(faultCtx) })
 	injecting.Wait()
 	stopFaults()
 	// The deployment recovers in the first seconds without faults, so requests sent in
@@ -108,14 +115,15 @@
 	waits.Sleep(ctx, 2*time.Second)
 	stopLoad()
 	load.Wait()
+	keptReport := d.checkKept(results.results)
 	d.checkAnswers(results.results, recoveredAt)
 	d.checkRuns(append(versionResults, results.results...))
 	resets := 0
 	for _, h := range d.hosts {
 		resets += h.app.Resets()
 	}
-	report = fmt.Sprintf("%d regions, %d resets, %d requests, %d served, %d rejected", d.regions, resets, len(results.results),
-		results.count(func(res requestResult) bool { return res.status == 200 }), results.count(requestResult.rejected))
+	report = fmt.Sprintf("%d regions, %d resets, %d requests, %d served, %d rejected; kept connections: %s", d.regions, resets, len(results.results),
+		results.count(func(res requestResult) bool { return res.status == 200 }), results.count(requestResult.rejected), keptReport)
 	if len(d.violations) > 0 {
 		return report, errors.New("violations: " + strings.Join(d.violations, "\n        ") + "\n        logs in " + d.folder)
 	}
--- a/cmd/soak/deployment.go
+++ b/cmd/soak/deployment.go
@@ -74,6 +74,8 @@
 	// is replaced.
 	disturbedUntil atomic.Int64
 	cutUntil       atomic.Int64 // the same for a cut between data centres, which spares the store
+	downUntil      atomic.Int64 // the same for a node that is killed or frozen
+	stoppingUntil  atomic.Int64 // end of a planned stop, until the next process is started
 }
 
 // deployment is a set of hosts with the store that they share.
@@ -103,6 +105,8 @@
 	routeChanges    []routeChange     // of the path /safe/, oldest first
 	home            []string          // home regions of homePath; empty: no restriction
 	homeChanges     []homeChange      // oldest first
+	idleTimeout     time.Duration     // of clients, as published
+	idleChanges     []idleChange      // of idleTimeout, oldest first
 	storeFaultUntil atomic.Int64      // end of the store's fault in Unix nanoseconds
 	violations      []string
 }
@@ -134,7 +138,8 @@
 }
 
 func newDeployment(c config) (*deployment, error) {
-	d := &deployment{c: c, store: fakes.NewStore(), written: make(map[string]write), routes: map[string]string{"/unsafe/": "orders", "/other/": "stock"}}
+	d := &deployment{c: c, store: fakes.NewStore(), written: make(map[string]write), routes: map[string]string{"/unsafe/": "orders", "/other/": "stock"},
+		idleTimeout: usualIdleTimeout}
 	d.drawRegions()
 	var err error
 	if d.folder = c.folder; d.folder == "" {
@@ -289,7 +294,9 @@
 		"routes":  map[string]any{"columns": []string{"name", "host", "prefix", "kind", "timeout_ms", "slo_ms", "priority", "service", "attempts", "allowed_regions"}, "rows": rows},
 		"services": map[string]any{"columns": []string{"name", "health_path", "max_conns", "warmup_s", "warmup_per_s"},
 			"rows": [][]any{{"orders", "/healthz", 100, warmUpTime.Seconds(), warmUpRate}, {"stock", "/healthz", 100, warmUpTime.Seconds(), warmUpRate}}},
+		"limits": map[string]any{"max_header_bytes": 16 << 10, "max_body_bytes": 1 << 20, "header_timeout_ms": 10000, "idle_timeout_ms": d.idleTimeout.Milliseconds()},
 	})
+	d.idleChanges = append(d.idleChanges, idleChange{time.Now(), d.idleTimeout})
 	d.routeChanges = append(d.routeChanges, routeChange{time.Now(), service})
 	d.homeChanges = append(d.homeChanges, homeChange{begin, time.Now(), d.home})
 }
@@ -389,6 +396,13 @@
 	return h.disturbedUntil.Load() < since.UnixNano()
 }
 
+// markDown marks the host's node as killed or frozen for d from now on.
+func (h *host) markDown(d time.Duration) { h.downUntil.Store(time.Now().Add(d).UnixNano()) }
+
+// aliveSince reports whether the node was neither killed nor frozen since a time. A planned stop
+// doesn't count.
+func (h *host) aliveSince(since time.Time) bool { return h.downUntil.Load() < since.UnixNano() }
+
 // close kills the nodes and closes the servers and proxies of the run.
 func (d *deployment) close() {
 	for _, h := range d.hosts {
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -31,6 +31,7 @@
 var faults = [...]fault{
 	{"kill", func(ctx context.Context, d *deployment, h *host, r *rand.Rand) {
 		h.markDisturbed(time.Hour)
+		h.markDown(recoveryTime)
 		h.signal(syscall.SIGKILL)
 		h.waitExit(time.Second)
 		sleepFaultDuration(ctx, r)
@@ -38,24 +39,29 @@
 	}},
 	{"freeze", func(ctx context.Context, d *deployment, h *host, r *rand.Rand) {
 		h.markDisturbed(time.Hour)
+		h.markDown(time.Hour)
 		h.signal(syscall.SIGSTOP)
 		sleepFaultDuration(ctx, r)
 		h.signal(syscall.SIGCONT)
 		h.markDisturbed(recoveryTime)
+		h.markDown(recoveryTime)
 	}},
 	{"stop", func(ctx context.Context, d *deployment, h *host, r *rand.Rand) {
 		// A planned stop must lose no request, so the host counts as disturbed only
 		// after it.
 		begin := time.Now()
+		h.stoppingUntil.Store(begin.Add(time.Hour).UnixNano())
 		h.signal(syscall.SIGTERM)
 		if !h.waitExit(6 * time.Second) {
 			d.fail("host %s did not exit within its grace time after SIGTERM", h.name)
+			h.markDown(recoveryTime)
 			h.signal(syscall.SIGKILL)
 			h.waitExit(time.Second)
 		} else if code := h.exitCode(); code != 0 && h.undisturbedSince(begin) {
 			d.fail("host %s exited with status %d after SIGTERM without another fault", h.name, code)
 		}
 		h.markDisturbed(time.Hour)
+		h.stoppingUntil.Store(time.Now().UnixNano())
 		d.restartNode(h)
 	}},
 	{"hangup", func(ctx context.Context, d *deployment, h *host, r *rand.Rand) {
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -12,6 +12,8 @@
 	"net/http/httptest"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -209,3 +211,142 @@
 		is.Equal(len(d.violations), violations) // status
 	}
 }
+
+// Guards against clients that take an answer for whole that is cut or shorter than they asked for,
+// or that take a refusal or a closing after a whole answer for a cut.
+func TestKeptEnds(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string // LENGTH stands for the length that the request asks for, ID for its ID
+		body   int    // bytes; -1 for that length
+		abort  bool   // the connection is reset
+		how    end
+		open   bool
+	}{
+		"whole":                 {answer: "200 OK\r\nContent-Length: LENGTH\r\nX-Response-Seal: seal-ID", body: -1, how: whole, open: true},
+		"whole and last":        {answer: "200 OK\r\nContent-Length: LENGTH\r\nX-Response-Seal: seal-ID\r\nConnection: close", body: -1, how: whole},
+		"refused":               {answer: "503 Service Unavailable\r\nContent-Length: 0", how: refused, open: true},
+		"failed":                {answer: "502 Bad Gateway\r\nContent-Length: 0", how: whole, open: true},
+		"closed":                {how: closed},
+		"reset":                 {abort: true, how: reset},
+		"cut":                   {answer: "200 OK\r\nContent-Length: LENGTH\r\nX-Response-Seal: seal-ID", body: 1, how: brokenOff},
+		"cut, length not known": {answer: "200 OK\r\nX-Response-Seal: seal-ID", body: 1, how: brokenOff},
+		"cut and reset":         {answer: "200 OK\r\nContent-Length: LENGTH\r\nX-Response-Seal: seal-ID", body: 1, abort: true, how: reset},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer l.Close()
+			served := make(chan struct{})
+			go func() {
+				defer close(served)
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				q, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				io.Copy(io.Discard, q.Body)
+				length := q.URL.Query().Get("length")
+				body, _ := strconv.Atoi(length)
+				if c.body >= 0 {
+					body = c.body
+				}
+				if c.answer != "" {
+					header := strings.NewReplacer("LENGTH", length, "ID", q.Header.Get("X-Attempt-Id")).Replace(c.answer)
+					fmt.Fprintf(conn, "HTTP/1.1 %s\r\n\r\n%s", header, strings.Repeat(" ", body))
+				}
+				if c.abort {
+					conn.(*net.TCPConn).SetLinger(0)
+				}
+			}()
+			conn, err := net.Dial("tcp", l.Addr().String())
+			is.NoErr(err)
+			d := &deployment{}
+			h := &host{name: "h1"}
+			// The source draws a request with a chunked body, in three segments, for 3,847 bytes.
+			res, open := d.sendKept(conn, bufio.NewReader(conn), h, rand.New(rand.NewPCG(18, 1)))
+			<-served
+			is.Equal(ends[res.kept.how], ends[c.how])
+			is.Equal(open, c.open)
+			is.Equal(len(d.violations), 0)
+			conn.Close()
+			res, open = d.sendKept(conn, bufio.NewReader(conn), h, rand.New(rand.NewPCG(18, 1)))
+			is.Equal(ends[res.kept.how], ends[unsent])
+			is.True(!open)
+		})
+	}
+}
+
+// Guards against a check that misses an end without a whole answer of a request that ran or was
+// read, and against one that reports a request that crossed the end of an idle connection.
+func TestCheckKept(t *testing.T) {
+	for name, c := range map[string]struct {
+		how        end
+		ran, late  bool
+		down       bool // the node was killed or frozen
+		prompt     bool // no idle timeout and no stop explains the end
+		violations int
+	}{
+		"whole":                 {how: whole, ran: true, late: true},
+		"refused":               {how: refused, late: true},
+		"not sent":              {how: unsent, late: true},
+		"crossed an idle close": {how: closed},
+		"reset when it crossed": {how: reset},
+		"closed, ran":           {how: closed, ran: true, violations: 1},
+		"closed late":           {how: closed, late: true, violations: 1},
+		"broken off":            {how: brokenOff, ran: true, violations: 1},
+		"reset, ran":            {how: reset, ran: true, violations: 1},
+		"timed out":             {how: timedOut, late: true, violations: 1},
+		"closed, not idle":      {how: closed, prompt: true, violations: 1},
+		"not sent, not idle":    {how: unsent, prompt: true, violations: 1},
+		"refused, not idle":     {how: refused, prompt: true},
+		"node killed":           {how: closed, ran: true, late: true, down: true, prompt: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := &host{name: "h1", app: fakes.NewApp("stock", "i-1", slots, 0)}
+			d := &deployment{hosts: []*host{h}}
+			sent := time.Now()
+			h.markDisturbed(time.Hour) // by a planned stop, or by a fault elsewhere
+			if c.down {
+				h.markDown(recoveryTime)
+			}
+			if c.ran {
+				q := httptest.NewRequest(http.MethodGet, "/other/", nil)
+				q.Header.Set("X-Attempt-Id", "q-1")
+				q.Header.Set("X-Expect-Instance", "i-1")
+				h.app.ServeHTTP(httptest.NewRecorder(), q)
+			}
+			k := &keptEnd{how: c.how, after: readBound, alive: h.aliveSince(sent), prompt: c.prompt}
+			if c.late {
+				k.after++
+			}
+			report := d.checkKept([]requestResult{{id: "q-0", host: h}, {id: "q-1", path: "/other/", host: h, sent: sent, kept: k}})
+			is.Equal(len(d.violations), c.violations)
+			ran := 0
+			if c.ran {
+				ran = 1
+			}
+			is.True(strings.Contains(report, fmt.Sprintf("1 %s (%d ran)", ends[c.how], ran))) // counted
+		})
+	}
+}
+
+// Guards against published configurations without limits, and against pauses that exceed an idle
+// timeout that may still be in force.
+func TestIdleTimeouts(t *testing.T) {
+	is := is.New(t)
+	d := &deployment{store: fakes.NewStore(), written: make(map[string]write), routes: make(map[string]string), idleTimeout: usualIdleTimeout}
+	d.publishRoutes("orders")
+	d.publishIdleTimeout(time.Second)
+	d.publishIdleTimeout(time.Minute)
+	limits := d.written["op/config"].value.(map[string]any)["limits"].(map[string]any)
+	is.Equal(limits["idle_timeout_ms"], time.Minute.Milliseconds())
+	now := time.Now()
+	is.Equal(d.minIdleInForce(now), time.Second)
+	is.Equal(d.minIdleInForce(now.Add(limitsBound+time.Millisecond)), time.Minute)
+}
