soak: the checks of kept connections allow for a stalled machine

While a large configuration is in force, a series has one change: each is a version of up to 6,000 routes that passes the delayed links. Answers are awaited for 10 s. The time without a request is counted from the request before, since the client may read its answer late. What only the time tells is not checked while a pause of the soak's own process lasts 100 ms too long; whether a request that ran got its answer always is. A kept request whose own client took 240 ms or longer to send it may get 408; this is the one change of an existing check.

TestShortRun passes, 16 s.

--- a/cmd/soak/check.go
+++ b/cmd/soak/check.go
@@ -74,6 +74,7 @@
 	results := &resultList{}
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	var load sync.WaitGroup
+	load.Go(func() { d.watchStalls(loadCtx) })
 	for i, h := range d.hosts {
 		for k := range clientsPerHost {
 			load.Go(func() {
@@ -122,8 +123,8 @@
 	for _, h := range d.hosts {
 		resets += h.app.Resets()
 	}
-	report = fmt.Sprintf("%d regions, %d resets, %d requests, %d served, %d rejected; kept connections: %s", d.regions, resets, len(results.results),
-		results.count(func(res requestResult) bool { return res.status == 200 }), results.count(requestResult.rejected), keptReport)
+	report = fmt.Sprintf("%d regions, %d resets, %d requests, %d served, %d rejected, %d stalls; kept connections: %s", d.regions, resets, len(results.results),
+		results.count(func(res requestResult) bool { return res.status == 200 }), results.count(requestResult.rejected), len(d.stalls), keptReport)
 	if len(d.violations) > 0 {
 		return report, errors.New("violations: " + strings.Join(d.violations, "\n        ") + "\n        logs in " + d.folder)
 	}
@@ -222,7 +223,8 @@
 		if res.status == 200 && res.err == nil && !strings.Contains(res.body, " answers "+res.id+" with ") {
 			d.fail("request %s got the body %q", res.id, res.body)
 		}
-		if res.rejected() {
+		// The idle timeout also bounds the pauses in a body.
+		if res.rejected() && !(res.status == http.StatusRequestTimeout && res.kept != nil && res.kept.slow) {
 			d.fail("request %s for %s at host %s, sent at %s, got status %d", res.id, res.path, res.host.name, res.sent.Format("15:04:05.000"), res.status)
 		}
 		if res.sent.After(recoveredAt) && !res.unanswered() {
--- a/cmd/soak/deployment.go
+++ b/cmd/soak/deployment.go
@@ -109,6 +109,7 @@
 	idleChanges     []idleChange      // of idleTimeout, oldest first
 	storeFaultUntil atomic.Int64      // end of the store's fault in Unix nanoseconds
 	violations      []string
+	stalls          []interval // oldest first
 }
 
 // write is a write to a key of the store.
--- a/cmd/soak/kept.go
+++ b/cmd/soak/kept.go
@@ -41,8 +41,11 @@
 	// readBound is the time after its last byte from which on a request counts as read. A
 	// node that closes a connection discards what arrives for 100 ms.
 	readBound = 200 * time.Millisecond
-	// keptTimeout is how long an answer is awaited. A node answers by requestTimeout.
-	keptTimeout = 3 * time.Second
+	// keptTimeout is how long an answer is awaited. A node answers by requestTimeout, but a machine
+	// with a load of 40 on 8 processors let processes wait for up to 4 s.
+	keptTimeout = 10 * time.Second
+	// stallBound is by how much a pause of this process lasts too long if the machine is stalled.
+	stallBound = 100 * time.Millisecond
 )
 
 // end is how a request on a kept connection ended.
@@ -68,6 +71,30 @@
 	after  time.Duration // from the last byte of the request to the end
 	alive  bool          // the node was neither killed nor frozen
 	prompt bool          // the connection was neither idle for too long nor that of a node being stopped
+	slow   bool          // a pause in the request may have reached the idle timeout
+	from   time.Time     // when the connection was dialed, or the request before this one was sent
+}
+
+// interval is a time in which this process got no processor.
+type interval struct{ begin, end time.Time }
+
+// watchStalls records when this process pauses for longer than it means to. Its clients then see
+// ends late, and nodes time requests out.
+func (d *deployment) watchStalls(ctx context.Context) {
+	const pause = 10 * time.Millisecond
+	for ctx.Err() == nil {
+		begin := time.Now()
+		waits.Sleep(ctx, pause)
+		if end := time.Now(); end.Sub(begin) > pause+stallBound {
+			d.stalls = append(d.stalls, interval{begin, end})
+		}
+	}
+}
+
+// stalled reports whether the machine was stalled between two times. It is called after watchStalls
+// has ended.
+func (d *deployment) stalled(from, until time.Time) bool {
+	return slices.ContainsFunc(d.stalls, func(i interval) bool { return i.begin.Before(until) && i.end.After(from) })
 }
 
 // idleChange is a publication of the idle timeout of clients.
@@ -92,7 +119,10 @@
 	for ctx.Err() == nil {
 		waits.Sleep(ctx, time.Duration(r.IntN(1500))*time.Millisecond)
 		maxGap := []int{300, 1000}[r.IntN(2)]
-		for range 2 + r.IntN(4) {
+		for i := range 2 + r.IntN(4) {
+			if i > 0 && d.hasExtraRoutes() {
+				break // the delayed links take longer for a series of large versions than the checks allow
+			}
 			// All orders of magnitude are equally likely.
 			factor := math.Pow(float64(maxIdleTimeout)/float64(minIdleTimeout), r.Float64())
 			d.publishIdleTimeout(time.Duration(float64(minIdleTimeout) * factor))
@@ -102,6 +132,12 @@
 	d.publishIdleTimeout(usualIdleTimeout)
 }
 
+func (d *deployment) hasExtraRoutes() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.extraRoutes > 0
+}
+
 // minIdleInForce returns the smallest idle timeout that may be in force.
 func (d *deployment) minIdleInForce(now time.Time) time.Duration {
 	d.mu.Lock()
@@ -123,14 +159,16 @@
 		conn, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", h.ip, portCallers), time.Second)
 		if err == nil {
 			reader := bufio.NewReader(conn)
+			from := time.Now()
 			for open := true; open && ctx.Err() == nil; {
-				idleSince := time.Now()
-				pause := min(maxKeptPause, d.minIdleInForce(idleSince)*4/5)
+				pause := min(maxKeptPause, d.minIdleInForce(time.Now())*4/5)
 				waits.Sleep(ctx, time.Duration(r.Int64N(int64(pause))))
 				var res requestResult
 				res, open = d.sendKept(conn, reader, h, r)
-				res.kept.prompt = res.sent.Sub(idleSince) < minIdleTimeout*4/5 && h.stoppingUntil.Load() < idleSince.UnixNano()
+				res.kept.from = from
+				res.kept.prompt = res.sent.Sub(from) < minIdleTimeout*4/5 && h.stoppingUntil.Load() < from.UnixNano()
 				results.add(res)
+				from = res.sent
 			}
 			conn.Close()
 		}
@@ -172,6 +210,7 @@
 	res.kept = kept
 	res.err = writeInSegments(conn, request, r)
 	lastByte := time.Now()
+	kept.slow = lastByte.Sub(res.sent) > minIdleTimeout*4/5
 	if res.err == nil {
 		_, res.err = reader.Peek(1)
 		kept.how = endOf(res.err, closed)
@@ -230,8 +269,9 @@
 
 // checkKept checks that requests on kept connections that ran or were read ended with a whole answer,
 // unless their node was killed or frozen. A planned stop and faults elsewhere are no excuse. A
-// connection that no idle timeout and no stop can have closed must not end at all. It returns the
-// number of requests by their end.
+// connection that no idle timeout and no stop can have closed must not end at all. What only the
+// time tells is not checked while the machine is stalled. It returns the number of requests by
+// their end.
 func (d *deployment) checkKept(list []requestResult) (report string) {
 	ran := make(map[string]bool)
 	for _, h := range d.hosts {
@@ -249,7 +289,8 @@
 		if ran[res.id] {
 			running[k.how]++
 		}
-		if k.alive && (k.how > unsent && (ran[res.id] || k.after > readBound) || k.how >= unsent && k.prompt) {
+		lost := k.how > unsent && k.after > readBound || k.how >= unsent && k.prompt
+		if k.alive && (k.how > unsent && ran[res.id] || lost && !d.stalled(k.from, res.sent.Add(res.took))) {
 			d.fail("request %s for %s with an answer of %d bytes from %v at host %s, sent at %s, %s %v after its last byte, ran: %v, prompt: %v, undisturbed: %v: %v", res.id, res.path,
 				k.answer, k.client, res.host.name, res.sent.Format("05.000"), ends[k.how], k.after, ran[res.id], k.prompt, res.undisturbed, res.err)
 		}
