--- a/cmd/soak/check.go
+++ b/cmd/soak/check.go
@@ -49,8 +49,9 @@
 	status      int // 0 without a response
 	body        string
 	err         error
-	undisturbed bool // no fault affected the host or the store while the request ran
-	informed    bool // the same, but for cuts between data centres
+	undisturbed bool     // no fault affected the host or the store while the request ran
+	informed    bool     // the same, but for cuts between data centres
+	kept        *keptEnd // nil if the connection was not kept
 }
 
 // rejected reports whether the response has a status of redirects or client errors.
@@ -73,6 +74,7 @@
 	results := &resultList{}
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	var load sync.WaitGroup
+	load.Go(func() { d.watchStalls(loadCtx) })
 	for i, h := range d.hosts {
 		for k := range clientsPerHost {
 			load.Go(func() {
@@ -82,6 +84,11 @@
 		load.Go(func() {
 			d.runPipeliningClient(loadCtx, h, rand.New(rand.NewPCG(c.seed, uint64(pipelineSource+i))), results)
 		})
+		for k := range keptPerHost {
+			load.Go(func() {
+				d.runKeepingClient(loadCtx, h, rand.New(rand.NewPCG(c.seed, uint64(keptSource+i*keptPerHost+k))), results)
+			})
+		}
 		if d.regions > 1 {
 			load.Go(func() {
 				d.runHomeClient(loadCtx, h, rand.New(rand.NewPCG(c.seed, uint64(homeSource+i))), results)
@@ -98,6 +105,7 @@
 	}
 	injecting.Go(func() { d.injectResets(faultCtx) })
 	injecting.Go(func() { d.injectUnsigned(faultCtx) })
+	injecting.Go(func() { d.injectLimits(faultCtx) })
 	injecting.Wait()
 	stopFaults()
 	// The deployment recovers in the first seconds without faults, so requests sent in
@@ -108,14 +116,15 @@
 	waits.Sleep(ctx, 2*time.Second)
 	stopLoad()
 	load.Wait()
+	keptReport := d.checkKept(results.results)
 	d.checkAnswers(results.results, recoveredAt)
 	d.checkRuns(append(versionResults, results.results...))
 	resets := 0
 	for _, h := range d.hosts {
 		resets += h.app.Resets()
 	}
-	report = fmt.Sprintf("%d regions, %d resets, %d requests, %d served, %d rejected", d.regions, resets, len(results.results),
-		results.count(func(res requestResult) bool { return res.status == 200 }), results.count(requestResult.rejected))
+	report = fmt.Sprintf("%d regions, %d resets, %d requests, %d served, %d rejected, %d stalls; kept connections: %s", d.regions, resets, len(results.results),
+		results.count(func(res requestResult) bool { return res.status == 200 }), results.count(requestResult.rejected), len(d.stalls), keptReport)
 	if len(d.violations) > 0 {
 		return report, errors.New("violations: " + strings.Join(d.violations, "\n        ") + "\n        logs in " + d.folder)
 	}
@@ -214,7 +223,8 @@
 		if res.status == 200 && res.err == nil && !strings.Contains(res.body, " answers "+res.id+" with ") {
 			d.fail("request %s got the body %q", res.id, res.body)
 		}
-		if res.rejected() {
+		// The idle timeout also bounds the pauses in a body.
+		if res.rejected() && !(res.status == http.StatusRequestTimeout && res.kept != nil && res.kept.slow) {
 			d.fail("request %s for %s at host %s, sent at %s, got status %d", res.id, res.path, res.host.name, res.sent.Format("15:04:05.000"), res.status)
 		}
 		if res.sent.After(recoveredAt) && !res.unanswered() {
