conns: the test of requests that wait for memory covers those behind others

TestRequestThatWaitsForMemoryIsNotEvicted passed with either of the two conditions left out that keep a connection from being reported as idle when an earlier request is answered.

--- a/conns/ahead_test.go
+++ b/conns/ahead_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -217,19 +216,24 @@
 	is.NoErr(err)
 }
 
-// slowMemory is a budget whose first reservation waits.
+// slowMemory is a budget with a reservation that fails and one that waits, counted from 1.
 type slowMemory struct {
-	once    sync.Once
-	asked   chan struct{}
-	release chan struct{}
+	fails, waits   int32
+	calls          atomic.Int32
+	failed, waited chan struct{} // closed when these reservations are made
+	release        chan struct{} // ends the wait
 }
 
 // Reserve implements prim.MemoryBudget.
 func (m *slowMemory) Reserve(int) bool {
-	m.once.Do(func() {
-		close(m.asked)
+	switch m.calls.Add(1) {
+	case m.fails:
+		close(m.failed)
+		return false
+	case m.waits:
+		close(m.waited)
 		<-m.release
-	})
+	}
 	return true
 }
 
@@ -239,27 +243,58 @@
 // Guards against a connection that is closed for a new one after its request has been read, while memory is found for it: the
 // request then runs, and its answer is lost.
 func TestRequestThatWaitsForMemoryIsNotEvicted(t *testing.T) {
-	is := is.New(t)
-	m := &slowMemory{asked: make(chan struct{}), release: make(chan struct{})}
-	refused := make(chan bool, 1)
-	l := newBoundedListener(t, Bounds{MaxOpen: 1, OnPressure: func(_ int, r bool) { refused <- r }})
-	s := httpd.New(httpd.Config{Handler: Handler(answer), Requests: m, ConnState: Track, ConnContext: Context})
-	served := make(chan error, 1)
-	go func() { served <- s.Serve(l) }()
-	defer func() {
-		s.Close()
-		<-served
-	}()
-	c := dialAhead(t, l)
-	defer c.Close()
-	io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
-	<-m.asked
-	time.Sleep(slowHeader + 100*time.Millisecond)
-	dial(t, l)
-	is.True(<-refused)
-	close(m.release)
-	_, err := http.ReadResponse(bufio.NewReader(c), nil)
-	is.NoErr(err)
+	for name, m := range map[string]*slowMemory{
+		"alone":                   {waits: 1},
+		"behind another":          {waits: 2},
+		"refused, behind another": {fails: 2, waits: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m.failed, m.waited, m.release = make(chan struct{}), make(chan struct{}), make(chan struct{})
+			started, finish := make(chan struct{}), make(chan struct{})
+			refused := make(chan bool, 1)
+			l := newBoundedListener(t, Bounds{MaxOpen: 1, OnPressure: func(_ int, r bool) { refused <- r }})
+			s := httpd.New(httpd.Config{Requests: m, ConnState: Track, ConnContext: Context, Handler: Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/first" {
+					close(started)
+					<-finish
+				}
+			}))})
+			served := make(chan error, 1)
+			go func() { served <- s.Serve(l) }()
+			defer func() {
+				s.Close()
+				<-served
+			}()
+			c := dialAhead(t, l)
+			defer c.Close()
+			in := bufio.NewReader(c)
+			receive := func() {
+				_, err := http.ReadResponse(in, nil)
+				is.NoErr(err)
+			}
+			if m.waits > 1 {
+				io.WriteString(c, "GET /first HTTP/1.1\r\nHost: a\r\n\r\n")
+				<-started
+			}
+			io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			if m.fails > 0 {
+				<-m.failed
+			} else {
+				<-m.waited
+			}
+			close(finish)
+			if m.waits > 1 {
+				receive()
+			}
+			<-m.waited
+			time.Sleep(slowHeader + 100*time.Millisecond)
+			dial(t, l)
+			is.True(<-refused)
+			close(m.release)
+			receive()
+		})
+	}
 }
 
 // Guards against a connection that is reported as idle, so that it may be closed for a new
