--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -66,27 +66,27 @@
 	vector    net.Buffers
 	unwritten net.Buffers
 
-	mu         sync.Mutex
-	writeUntil time.Time   // the write deadline that is set
-	queue      []*response // in the order of the requests; the first one is written
-	last       *response   // the response that ends the connection
-	aheadBytes int         // charged for the requests read ahead
-	short      bool        // no reading ahead until the queue is empty, for lack of memory
-	ending     bool        // no further request is started
-	closing    bool        // the last response has been written
-	closed     bool        // net is closed
-	departed   bool        // the client has closed the connection
-	used       bool        // a request has been answered
-	reading    bool        // a goroutine reads
-	waiting    bool        // it waits for the first byte of a request
-	holding    bool        // it waits until a request that it has read may start
-	whole      bool        // it has read the header of a request that is not yet in the queue
-	unstarted  bool        // a request waits that has been read before the server was shut down
-	unheld     bool        // there was no memory for that
-	idleSince  time.Time   // when the last request was answered, if used
-	stopped    bool        // the wait for a request is to end
-	until      time.Time   // when the read in progress ends; zero for never
-	armed      time.Time   // the read deadline that is set: not later than until
+	mu            sync.Mutex
+	writeUntil    time.Time   // the write deadline that is set
+	queue         []*response // in the order of the requests; the first one is written
+	last          *response   // the response that ends the connection
+	aheadBytes    int         // charged for the requests read ahead
+	short         bool        // no reading ahead until the queue is empty, for lack of memory
+	ending        bool        // no further request is started
+	closing       bool        // the last response has been written
+	closed        bool        // net is closed
+	departed      bool        // the client has closed the connection
+	used          bool        // a request has been answered
+	reading       bool        // a goroutine reads
+	waiting       bool        // it waits for the first byte of a request
+	holding       bool        // it waits until a request that it has read may start
+	headerRead    bool        // it has read the header of a request that is not yet in the queue
+	acceptedWaits bool        // a request that was read before the shutdown waits for its turn
+	waitRefused   bool        // there was no memory for a request to wait for its turn
+	idleSince     time.Time   // when the last request was answered, if used
+	stopped       bool        // the wait for a request is to end
+	until         time.Time   // when the read in progress ends; zero for never
+	armed         time.Time   // the read deadline that is set: not later than until
 }
 
 func newConn(s *Server, accepted net.Conn) *conn {
@@ -149,7 +149,7 @@
 		return nil
 	}
 	c.mu.Lock()
-	c.whole = false
+	c.headerRead = false
 	c.mu.Unlock()
 	return x
 }
@@ -159,7 +159,7 @@
 func (c *conn) beginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.whole = true
+	c.headerRead = true
 	if len(c.queue) == 0 && !c.closed {
 		c.setState(http.StateActive)
 	}
@@ -317,7 +317,7 @@
 func (c *conn) admit(x *response) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	defer func() { c.unstarted = false }()
+	defer func() { c.acceptedWaits = false }()
 	for !c.mayStart(x) {
 		if c.ending || c.departed {
 			c.countNotStarted()
@@ -416,18 +416,18 @@
 func (c *conn) holdUnread() bool {
 	m := c.server.config.Unread
 	if !c.server.isLeaving() {
-		c.unstarted = true // until the caller stops waiting
+		c.acceptedWaits = true // until the caller stops waiting
 	}
 	if m == nil {
 		c.hold()
 		return true
 	}
-	if c.unheld {
+	if c.waitRefused {
 		return false
 	}
 	if !m.Reserve(unreadBytes) {
 		c.server.count("UnreadWithoutMemory")
-		c.unheld = true
+		c.waitRefused = true
 		return false
 	}
 	c.hold()
@@ -466,11 +466,11 @@
 	for len(c.queue) > 0 && !c.ending && !c.departed && c.holdUnread() {
 		held = true
 	}
-	c.unstarted = false
+	c.acceptedWaits = false
 	if len(c.queue) > 0 || c.ending || c.departed {
 		return false
 	}
-	if held && !c.whole {
+	if held && !c.headerRead {
 		c.setState(http.StateIdle) // rest leaves it to the goroutine that holds
 	}
 	return true
@@ -614,7 +614,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.queue) > 0 && c.queue[len(c.queue)-1] == x && !c.unstarted
+	return len(c.queue) > 0 && c.queue[len(c.queue)-1] == x && !c.acceptedWaits
 }
 
 // endWith queues a response that no handler made as the last one of the connection. Waiting for
@@ -727,7 +727,7 @@
 		return
 	}
 	c.idleSince = time.Now()
-	if !c.holding && !c.whole {
+	if !c.holding && !c.headerRead {
 		// The connection is not idle if a request that has been read is about to start:
 		// conns could close it in favour of a new one.
 		c.setState(http.StateIdle)
@@ -786,7 +786,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.holdUntilAnswered() {
-		if c.unheld && !c.ending && !c.departed {
+		if c.waitRefused && !c.ending && !c.departed {
 			c.endWith(response)
 			c.mu.Unlock()
 			c.awaitEnd()
--- a/httpd/parse.go
+++ b/httpd/parse.go
@@ -88,7 +88,7 @@
 			// What exceeds the input buffer is not accounted for while requests are in
 			// progress. conns accounts for headers on idle connections.
 			if !c.awaitAnswers() {
-				if c.isUnheld() {
+				if c.isWaitRefused() {
 					return nil
 				}
 				break
@@ -113,11 +113,11 @@
 	return c.holdUntilAnswered()
 }
 
-// isUnheld reports whether there was no memory to wait.
-func (c *conn) isUnheld() bool {
+// isWaitRefused reports whether there was no memory to wait.
+func (c *conn) isWaitRefused() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.unheld
+	return c.waitRefused
 }
 
 // limitReadUntil is setReadUntil, unless the read in progress ends earlier.
