--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -324,7 +324,7 @@
 			return false
 		}
 		if !c.holdUnread() {
-			c.endWith(rejection(errNoMemory))
+			c.queueRefusal(rejection(errNoMemory))
 			return false
 		}
 	}
@@ -617,10 +617,10 @@
 	return len(c.queue) > 0 && c.queue[len(c.queue)-1] == x && !c.acceptedWaits
 }
 
-// endWith queues a response that no handler made as the last one of the connection. Waiting for
+// queueRefusal adds a response that no handler made to the queue, as the last one. Waiting for
 // its turn takes no goroutine, and the reader may discard what the client sends. The caller holds
 // c.mu, and the queue is not empty.
-func (c *conn) endWith(text string) {
+func (c *conn) queueRefusal(text string) {
 	x := &response{conn: c, cancel: func() {}, done: true, out: []byte(text)}
 	c.queue = append(c.queue, x)
 	c.ending, c.last = true, x
@@ -787,7 +787,7 @@
 	defer c.mu.Unlock()
 	if !c.holdUntilAnswered() {
 		if c.waitRefused && !c.ending && !c.departed {
-			c.endWith(response)
+			c.queueRefusal(response)
 			c.mu.Unlock()
 			c.awaitEnd()
 			c.mu.Lock()
