--- a/httpd/conn.go
+++ b/httpd/conn.go
@@ -80,7 +80,6 @@
 	reading       bool        // a goroutine reads
 	waiting       bool        // it waits for the first byte of a request
 	holding       bool        // it waits until a request that it has read may start
-	headerRead    bool        // it has read the header of a request that is not yet in the queue
 	acceptedWaits bool        // a request that was read before the shutdown waits for its turn
 	waitRefused   bool        // there was no memory for a request to wait for its turn
 	idleSince     time.Time   // when the last request was answered, if used
@@ -148,23 +147,9 @@
 		c.awaitEnd()
 		return nil
 	}
-	c.mu.Lock()
-	c.headerRead = false
-	c.mu.Unlock()
 	return x
 }
 
-// beginRequest reports that the connection is not idle when a header has been read: conns could
-// close it in favour of a new one while memory is found for the request.
-func (c *conn) beginRequest() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.headerRead = true
-	if len(c.queue) == 0 && !c.closed {
-		c.setState(http.StateActive)
-	}
-}
-
 // awaitInput waits for the first byte of a request. It returns false if there will be none.
 func (c *conn) awaitInput() bool {
 	leading := 0
@@ -470,7 +455,7 @@
 	if len(c.queue) > 0 || c.ending || c.departed {
 		return false
 	}
-	if held && !c.headerRead {
+	if held {
 		c.setState(http.StateIdle) // rest leaves it to the goroutine that holds
 	}
 	return true
@@ -727,7 +712,7 @@
 		return
 	}
 	c.idleSince = time.Now()
-	if !c.holding && !c.headerRead {
+	if !c.holding {
 		// The connection is not idle if a request that has been read is about to start:
 		// conns could close it in favour of a new one.
 		c.setState(http.StateIdle)
--- a/httpd/parse.go
+++ b/httpd/parse.go
@@ -41,9 +41,6 @@
 			return nil, nil, 0, errNoMemory
 		}
 	}
-	if isComplete(head) {
-		c.beginRequest()
-	}
 	if held = c.holdRequest(head); held == 0 && c.server.config.Requests != nil {
 		return nil, nil, 0, errNoMemory
 	}
