--- a/httpd/server_test.go
+++ b/httpd/server_test.go
@@ -25,6 +25,12 @@
 
 // startServer serves on the loopback interface until the test ends.
 func startServer(t testing.TB, c Config) (*Server, string) {
+	t.Helper()
+	return startServerOn(t, c, func(l net.Listener) net.Listener { return l })
+}
+
+// startServerOn is startServer with a listener that wrap returns for the one that it gets.
+func startServerOn(t testing.TB, c Config, wrap func(net.Listener) net.Listener) (*Server, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -32,7 +38,7 @@
 	}
 	s := New(c)
 	served := make(chan error, 1)
-	go func() { served <- s.Serve(l) }()
+	go func(context.Context) { served <- s.Serve(wrap(l)) }(t.Context())
 	t.Cleanup(func() {
 		s.Close()
 		if err := <-served; err != http.ErrServerClosed {
@@ -479,93 +485,6 @@
 	is.NoErr(<-ended)
 }
 
-// deadlineListener calls functions after the deadlines of its connections were set.
-type deadlineListener struct {
-	net.Listener
-	onRead, onWrite func(time.Time)
-}
-
-// Accept implements net.Listener.
-func (l *deadlineListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &deadlineConn{c.(*net.TCPConn), l}, nil
-}
-
-type deadlineConn struct {
-	*net.TCPConn
-	listener *deadlineListener
-}
-
-// SetReadDeadline implements net.Conn.
-func (c *deadlineConn) SetReadDeadline(t time.Time) error {
-	err := c.TCPConn.SetReadDeadline(t)
-	c.listener.onRead(t)
-	return err
-}
-
-// SetWriteDeadline implements net.Conn.
-func (c *deadlineConn) SetWriteDeadline(t time.Time) error {
-	err := c.TCPConn.SetWriteDeadline(t)
-	c.listener.onWrite(t)
-	return err
-}
-
-// Guards against a connection that is closed while its client may still use it, because the idle timeout became longer.
-func TestConnectionIsKeptAfterHigherIdleTimeout(t *testing.T) {
-	is := is.New(t)
-	const before = 50 * time.Millisecond
-	var idle atomic.Int64
-	idle.Store(int64(before))
-	base, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	l := &deadlineListener{Listener: base, onWrite: func(time.Time) {}, onRead: func(at time.Time) {
-		if at.Before(time.Now().Add(before)) {
-			idle.Store(int64(time.Minute))
-		}
-	}}
-	s := New(Config{
-		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
-		Limits:  func() prim.ClientLimits { return prim.ClientLimits{IdleTimeout: time.Duration(idle.Load())} },
-	})
-	go s.Serve(l)
-	defer s.Close()
-	c := dial(t, base.Addr().String())
-	for range 2 {
-		c.send("/")
-		_, _, err := c.receive()
-		is.NoErr(err)
-		time.Sleep(3 * before)
-	}
-	is.Equal(time.Duration(idle.Load()), time.Minute)
-}
-
-// Guards against a client that may read slowly for as long as an idle timeout allowed that has become shorter.
-func TestLowerIdleTimeoutAppliesToWrites(t *testing.T) {
-	is := is.New(t)
-	var idle, until atomic.Int64
-	idle.Store(int64(time.Minute))
-	base, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	l := &deadlineListener{Listener: base, onRead: func(time.Time) {}, onWrite: func(at time.Time) { until.Store(at.UnixNano()) }}
-	s := New(Config{
-		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
-		Limits:  func() prim.ClientLimits { return prim.ClientLimits{IdleTimeout: time.Duration(idle.Load())} },
-	})
-	go s.Serve(l)
-	defer s.Close()
-	c := dial(t, base.Addr().String())
-	for _, timeout := range []time.Duration{time.Minute, 10 * time.Second} {
-		idle.Store(int64(timeout))
-		c.send("/")
-		_, _, err := c.receive()
-		is.NoErr(err)
-		is.True(time.Until(time.Unix(0, until.Load())) <= timeout+timeout/4)
-	}
-}
-
 // Guards against connections that are never closed: idle, new, or in the middle of a header
 // block; and against closing those that still have time.
 func TestTimeouts(t *testing.T) {
