mesh: a test that a node which stops asks its clients to close

Since the server of package httpd asks to close, by a function that package mesh gives it. No test of mesh noticed when that was left out (TestPlannedStop passed without it), so nobody would have seen a node that stops without telling its clients.

TestStopAsksClientsToClose fails without the function ("false != true") and passes in 3 of 3 runs. The product is unchanged.

--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -252,6 +252,27 @@
 	return resp.StatusCode, string(b)
 }
 
+// Guards against clients that go on using their connections to a node that stops, since no answer asks them to close.
+func TestStopAsksClientsToClose(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	for _, stopping := range []bool{false, true} {
+		if stopping {
+			d.stops[0]()
+			d.waitFor(d.nodes[0].stopping.Load)
+		}
+		for _, path := range []string{"/r/x", "/unknown/"} {
+			resp, err := http.DefaultClient.Do(d.request(0, path, fmt.Sprint("q-", stopping, path), "body"))
+			is.NoErr(err)
+			_, err = io.Copy(io.Discard, resp.Body)
+			is.NoErr(err)
+			resp.Body.Close()
+			is.Equal(resp.StatusCode == http.StatusOK, path == "/r/x")
+			is.Equal(resp.Close, stopping)
+		}
+	}
+}
+
 // ranAt returns the index of the host whose server ran a request, -1 for none.
 func (d *deployment) ranAt(id string) int {
 	for i, a := range d.apps {
