httpd: tests of refusals and shutdowns share their waits

Three tests polled in the same way with a bound of their own, and one of them for a counter that the fake recorder can report.

The recorder wakes who waits for a counter; what reports no change is polled by one function.

--- a/httpd/cost_test.go
+++ b/httpd/cost_test.go
@@ -105,9 +105,15 @@
 // awaitFree waits until nothing is reserved.
 func awaitFree(t *testing.T, b *fakeBudget) {
 	t.Helper()
-	for end := time.Now().Add(5 * time.Second); b.inUse() != 0; time.Sleep(time.Millisecond) {
+	waitFor(t, "bytes are still reserved", func() bool { return b.inUse() == 0 })
+}
+
+// waitFor polls until a condition holds, for state that reports no changes.
+func waitFor(t *testing.T, otherwise string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !holds(); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
-			t.Fatalf("%d bytes are still reserved", b.inUse())
+			t.Fatal(otherwise)
 		}
 	}
 }
--- a/httpd/refusal_test.go
+++ b/httpd/refusal_test.go
@@ -7,7 +7,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -17,17 +16,22 @@
 // fakeRecorder counts.
 type fakeRecorder struct {
 	prim.Recorder
-	mu     sync.Mutex
-	counts map[string]int64
+	mu      sync.Mutex
+	counted *sync.Cond
+	counts  map[string]int64
+}
+
+func newFakeRecorder() *fakeRecorder {
+	r := &fakeRecorder{counts: make(map[string]int64)}
+	r.counted = sync.NewCond(&r.mu)
+	return r
 }
 
 func (r *fakeRecorder) Count(name string, n int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.counts == nil {
-		r.counts = make(map[string]int64)
-	}
 	r.counts[name] += n
+	r.counted.Broadcast()
 }
 
 func (r *fakeRecorder) count(name string) int64 {
@@ -37,12 +41,11 @@
 }
 
 // await waits until something has been counted.
-func (r *fakeRecorder) await(t *testing.T, name string) {
-	t.Helper()
-	for end := time.Now().Add(5 * time.Second); r.count(name) == 0; time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("nothing is counted as %s", name)
-		}
+func (r *fakeRecorder) await(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for r.counts[name] == 0 {
+		r.counted.Wait()
 	}
 }
 
@@ -65,7 +68,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			g, counts, unread, requests := newGates(), &fakeRecorder{}, &fakeBudget{limit: unreadBytes - 1}, &fakeBudget{limit: test.requests}
+			g, counts, unread, requests := newGates(), newFakeRecorder(), &fakeBudget{limit: unreadBytes - 1}, &fakeBudget{limit: test.requests}
 			_, address := startServer(t, Config{Handler: g, Unread: unread, Requests: requests, MaxReadAhead: 2, Recorder: counts,
 				Concurrent: func(r *http.Request) bool { return r.Method == http.MethodGet }})
 			c := dial(t, address)
@@ -73,7 +76,7 @@
 			c.send(paths...)
 			is.Equal(take(g.started, test.ahead), paths)
 			io.WriteString(c, test.refused+rest)
-			counts.await(t, "UnreadWithoutMemory")
+			counts.await("UnreadWithoutMemory")
 			for _, path := range paths {
 				close(g.gate(path))
 				body, last, err := c.receive()
@@ -117,7 +120,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			g, counts := newGates(), &fakeRecorder{}
+			g, counts := newGates(), newFakeRecorder()
 			s, address := startServer(t, Config{Handler: g, Recorder: counts, Concurrent: func(r *http.Request) bool { return r.Method == http.MethodGet }})
 			c := dial(t, address)
 			c.send("/abort", "/2")
@@ -135,9 +138,7 @@
 				is.Equal(err, io.EOF)
 				c.Close()
 			}
-			for len(openConns(s)) > 0 {
-				time.Sleep(time.Millisecond)
-			}
+			waitFor(t, "a connection is still open", func() bool { return len(openConns(s)) == 0 })
 			is.Equal(counts.count("ReadAheadCancelled"), test.cancelled)
 			is.Equal(counts.count("ReadAheadNotStarted"), test.notStarted)
 			is.Equal(counts.count("ClientsDeparted"), test.departures)
--- a/httpd/shutdown_test.go
+++ b/httpd/shutdown_test.go
@@ -25,20 +25,16 @@
 // awaitHold waits until a connection does not read because of the requests in progress.
 func awaitHold(t *testing.T, s *Server) {
 	t.Helper()
-	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
-		held := false
-		for _, c := range openConns(s) {
-			c.mu.Lock()
-			held = held || c.holding
-			c.mu.Unlock()
-		}
-		if held {
-			return
-		}
-		if time.Now().After(end) {
-			t.Fatal("no connection holds a request back")
-		}
-	}
+	waitFor(t, "no connection holds a request back", func() bool { return anyConn(s, func(c *conn) bool { return c.holding }) })
+}
+
+// anyConn reports whether a connection of a server meets a condition, which is called with conn.mu held.
+func anyConn(s *Server, meets func(*conn) bool) bool {
+	return slices.ContainsFunc(openConns(s), func(c *conn) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return meets(c)
+	})
 }
 
 // Guards against a shutdown that drops a request which has been read and waits for its turn.
@@ -152,15 +148,11 @@
 	}
 }
 
-// awaitAnswers waits until no connection has a request in progress.
+// awaitAnswers waits until no connection has a request in progress. Other goroutines than that of
+// the test may call it.
 func awaitAnswers(s *Server) {
-	for busy := true; busy; time.Sleep(time.Millisecond) {
-		busy = false
-		for _, c := range openConns(s) {
-			c.mu.Lock()
-			busy = busy || len(c.queue) > 0
-			c.mu.Unlock()
-		}
+	for anyConn(s, func(c *conn) bool { return len(c.queue) > 0 }) {
+		time.Sleep(time.Millisecond)
 	}
 }
 
