server: two tests of the bound on connections share their server

Both had the same stand-in that holds its answers. The checks are unchanged: TestConnectionLimitIsLowered fails with surplus connections kept when they are released, and with idle ones not closed.

--- a/server/server_test.go
+++ b/server/server_test.go
@@ -63,17 +63,24 @@
 	is.Equal(len(a.Body), 0)
 }
 
-// Guards against more open connections than Config.Connections. A request without a
-// connection must be refused as NotRun.
-func TestConnectionLimit(t *testing.T) {
-	is := is.New(t)
-	entered, release := make(chan struct{}), make(chan struct{})
+// startHeldServer starts a server that reports each request on entered and answers it when release
+// gets a value or is closed.
+func startHeldServer(t *testing.T) (address string, entered, release chan struct{}) {
+	entered, release = make(chan struct{}), make(chan struct{})
 	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		entered <- struct{}{}
 		<-release
 	}))
-	defer s.Close()
-	c := newClient(s.Listener.Addr().String(), 1)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String(), entered, release
+}
+
+// Guards against more open connections than Config.Connections. A request without a
+// connection must be refused as NotRun.
+func TestConnectionLimit(t *testing.T) {
+	is := is.New(t)
+	address, entered, release := startHeldServer(t)
+	c := newClient(address, 1)
 	defer c.Close()
 	result := make(chan error, 1)
 	go func() {
@@ -91,14 +98,9 @@
 // idle.
 func TestConnectionLimitIsLowered(t *testing.T) {
 	is := is.New(t)
-	entered, release := make(chan struct{}), make(chan struct{})
-	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-		entered <- struct{}{}
-		<-release
-	}))
-	defer s.Close()
+	address, entered, release := startHeldServer(t)
 	defer close(release)
-	c := newClient(s.Listener.Addr().String(), 4)
+	c := newClient(address, 4)
 	defer c.Close()
 	results := make(chan error)
 	begin := func(n int) {
