soak: the request of a kept client is drawn by a function of its own

sendKept built the request, sent it and classified its end in 45 lines, and the check of the ends was one condition. The random numbers are drawn in the same order, and the check is the same with its parts named. go test -race ./cmd/soak passes.

--- a/cmd/soak/kept.go
+++ b/cmd/soak/kept.go
@@ -188,12 +188,9 @@
 	return r.IntN(20 << 10)
 }
 
-// sendKept sends a request in up to three segments and awaits its answer. It reports whether the
-// connection can be used further.
-func (d *deployment) sendKept(conn net.Conn, reader *bufio.Reader, h *host, r *rand.Rand) (res requestResult, open bool) {
-	path := []string{"/safe/", "/unsafe/", "/other/"}[r.IntN(3)]
-	res = requestResult{id: fmt.Sprintf("q-%d", lastRequestID.Add(1)), path: path, host: h, sent: time.Now()}
-	length, query, method, rest := drawLength(r), "", http.MethodGet, "\r\n"
+// drawKeptRequest returns a request for a path, whose answer has at least length bytes.
+func drawKeptRequest(id, path string, length int, r *rand.Rand) []byte {
+	query, method, rest := "", http.MethodGet, "\r\n"
 	if r.IntN(8) == 0 {
 		query = fmt.Sprintf("&work=%dms", r.IntN(500))
 	}
@@ -204,8 +201,17 @@
 			rest = fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
 		}
 	}
-	request := fmt.Appendf(nil, "%s %sx?length=%d%s HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n%s",
-		method, path, length, query, res.id, requestTimeout.Milliseconds(), rest)
+	return fmt.Appendf(nil, "%s %sx?length=%d%s HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n%s",
+		method, path, length, query, id, requestTimeout.Milliseconds(), rest)
+}
+
+// sendKept sends a request in up to three segments and awaits its answer. It reports whether the
+// connection can be used further.
+func (d *deployment) sendKept(conn net.Conn, reader *bufio.Reader, h *host, r *rand.Rand) (res requestResult, open bool) {
+	path := []string{"/safe/", "/unsafe/", "/other/"}[r.IntN(3)]
+	res = requestResult{id: fmt.Sprintf("q-%d", lastRequestID.Add(1)), path: path, host: h, sent: time.Now()}
+	length := drawLength(r)
+	request := drawKeptRequest(res.id, path, length, r)
 	kept := &keptEnd{how: unsent, client: conn.LocalAddr(), answer: length}
 	res.kept = kept
 	res.err = writeInSegments(conn, request, r)
@@ -289,8 +295,10 @@
 		if ran[res.id] {
 			running[k.how]++
 		}
-		lost := k.how > unsent && k.after > readBound || k.how >= unsent && k.prompt
-		if k.alive && (k.how > unsent && ran[res.id] || lost && !d.stalled(k.from, res.sent.Add(res.took))) {
+		lost := k.how > unsent && ran[res.id]
+		late := k.how > unsent && k.after > readBound
+		endedEarly := k.how >= unsent && k.prompt
+		if k.alive && (lost || (late || endedEarly) && !d.stalled(k.from, res.sent.Add(res.took))) {
 			d.fail("request %s for %s with an answer of %d bytes from %v at host %s, sent at %s, %s %v after its last byte, ran: %v, prompt: %v, undisturbed: %v: %v", res.id, res.path,
 				k.answer, k.client, res.host.name, res.sent.Format("05.000"), ends[k.how], k.after, ran[res.id], k.prompt, res.undisturbed, res.err)
 		}
